--- /dev/null
+++ b/apps/peridotctl/commands.h
@@ -0,0 +1,14 @@
+/// \file
+/// The commands of peridotctl, one function each.
+#pragma once
+
+#include "command_line.h"
+
+namespace peridot {
+
+exit_code runCheck(const command_line &Line);
+exit_code runPublish(const command_line &Line);
+exit_code runKeys(const command_line &Line);
+exit_code runStatus(const command_line &Line);
+
+} // namespace peridot
--- /dev/null
+++ b/src/coordination/limits/types/rate_decision.h
@@ -0,0 +1,20 @@
+/// \file
+/// Whether an account's request is within its rate and burst.
+#pragma once
+
+#include <chrono>
+#include <variant>
+
+namespace peridot {
+
+/// One request was taken off the account's share.
+struct rate_admitted {};
+
+/// No share is left on this VM.
+struct rate_refused {
+  std::chrono::milliseconds RetryAfter{0}; ///< When a share is expected.
+};
+
+using rate_decision = std::variant<rate_admitted, rate_refused>;
+
+} // namespace peridot
--- /dev/null
+++ b/src/coordination/routing/admission.h
@@ -0,0 +1,35 @@
+/// \file
+/// Whether a request may go on to a target, judged by its head alone.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <variant>
+
+#include "coordination/routing/types/refusal.h"
+#include "coordination/routing/types/routing_snapshot.h"
+
+namespace peridot {
+
+/// The parts of a request head that admission looks at; views into the
+/// caller's buffer.
+struct request_head {
+  std::string_view Method;
+  std::string_view Path;
+  std::optional<std::string_view> Key; ///< As sent; never logged.
+};
+
+/// A request that passed; pointers live as long as the snapshot.
+struct admitted_request {
+  const service *Service = nullptr;
+  const route *Route = nullptr;
+  const client_account *Account = nullptr; ///< Null on open routes.
+};
+
+using admission = std::variant<admitted_request, refusal>;
+
+/// Finds the route and, unless it is open, the account whose key came along.
+admission decideAdmission(const routing_snapshot &Snapshot,
+                          const request_head &Head);
+
+} // namespace peridot
--- /dev/null
+++ b/src/coordination/routing/internal/outcome_table.cpp
@@ -0,0 +1,31 @@
+#include "coordination/routing/outcome_table.h"
+
+namespace peridot {
+
+namespace {
+
+request_outcome outcomeOf(attempt_progress Progress) {
+  switch (Progress) {
+  case attempt_progress::NotConnected:
+  case attempt_progress::NothingSent:
+  case attempt_progress::Shed:
+    return request_outcome::NotRun;
+  case attempt_progress::PartlySent:
+  case attempt_progress::WhollySent:
+  case attempt_progress::AnswerStarted:
+    return request_outcome::Unknown;
+  }
+  return request_outcome::Unknown;
+}
+
+} // namespace
+
+attempt_verdict judgeAttempt(attempt_progress Progress, bool Repeatable,
+                             bool BodyReplayable, bool CallerGotBytes) {
+  const request_outcome Outcome = outcomeOf(Progress);
+  const bool Safe = Outcome == request_outcome::NotRun || Repeatable;
+  return {.Outcome = Outcome,
+          .MayRetry = Safe && BodyReplayable && !CallerGotBytes};
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/coordination/routing/target_choice.h
@@ -0,0 +1,27 @@
+/// \file
+/// Which target gets the next request.
+#pragma once
+
+#include <cstdint>
+#include <span>
+
+#include "coordination/routing/types/routing_snapshot.h"
+
+namespace peridot {
+
+/// A target as one traffic thread sees it at the moment of choice.
+struct target_candidate {
+  const target *Target = nullptr;
+  unsigned Outstanding = 0; ///< Requests of this VM that run there now.
+  bool SameDataCenter = false;
+  bool AlreadyTried = false; ///< By this request; never chosen again.
+};
+
+/// Takes two random serving candidates and returns the less loaded, preferring
+/// the own data centre; nullptr when none may be used.
+/// \param Random uniformly distributed bits.
+const target *chooseTarget(const routing_snapshot &Snapshot,
+                           std::span<const target_candidate> Candidates,
+                           std::uint64_t Random);
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/peer_frames/types/peer_frame.h
@@ -0,0 +1,56 @@
+/// \file
+/// What travels between two VMs of the fleet.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "state/base/types/identifiers.h"
+
+namespace peridot {
+
+/// Which part of the coordination layer a frame belongs to. The body of a
+/// frame is a FlatBuffers message of that part.
+enum class frame_subject : std::uint8_t {
+  Membership = 1,
+  Ownership = 2,
+  Limits = 3,
+  Health = 4,
+  Rollout = 5,
+};
+
+/// All subjects, in order of their numbers.
+inline constexpr std::array AllFrameSubjects = {
+    frame_subject::Membership, frame_subject::Ownership, frame_subject::Limits,
+    frame_subject::Health, frame_subject::Rollout};
+
+std::string_view nameOf(frame_subject Subject);
+
+/// One message, decoded from a link whose sender is authenticated.
+struct peer_frame {
+  frame_subject Subject = frame_subject::Membership;
+  std::vector<std::byte> Body;
+};
+
+/// What a dialing VM says about itself when a link is set up.
+struct peer_hello {
+  vm_incarnation Sender;
+  data_center_name DataCenter;
+
+  bool operator==(const peer_hello &) const = default;
+};
+
+using bytes_view = std::span<const std::byte>;
+
+/// Random bytes that the accepting VM sends first; they make every session
+/// key different, so that recorded frames cannot be replayed.
+using link_challenge = std::array<std::byte, 16>;
+
+/// Key that authenticates the frames of one link.
+using session_key = std::array<std::byte, 32>;
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/platform_documents/internal/platform_documents.cpp
@@ -0,0 +1,209 @@
+#include "protocol/platform_documents/platform_documents.h"
+
+#include <boost/json.hpp>
+
+namespace peridot {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string_view textOf(const json::value &Value) {
+  const json::string &Text = Value.as_string();
+  return {Text.data(), Text.size()};
+}
+
+template <typename Item, typename Encode>
+json::array arrayOf(std::span<const Item> Items, Encode EncodeItem) {
+  json::array Array;
+  Array.reserve(Items.size());
+  for (const Item &Each : Items)
+    Array.push_back(EncodeItem(Each));
+  return Array;
+}
+
+json::value text(std::string_view Text) {
+  return json::value(json::string_view(Text.data(), Text.size()));
+}
+
+json::value encodeRoute(const route &Route) {
+  return {{"path", text(Route.PathPrefix)},
+          {"methods", arrayOf(std::span(Route.Methods), text)},
+          {"repeatable", Route.Repeatable},
+          {"open", Route.Open},
+          {"deadline_ms", Route.Deadline.count()},
+          {"max_body_bytes", Route.MaxBodyBytes}};
+}
+
+json::value encodeTarget(const target &Target) {
+  return {{"name", text(Target.Name.view())},
+          {"data_center", text(Target.DataCenter.view())},
+          {"address", text(Target.Address)},
+          {"port", Target.Port},
+          {"slots", Target.Slots},
+          {"max_connections", Target.MaxConnections}};
+}
+
+json::value encodeAccount(const client_account &Account) {
+  const auto NameText = [](const auto &Name) { return text(Name.view()); };
+  return {{"name", text(Account.Name.view())},
+          {"rate", Account.Limit.RequestsPerSecond},
+          {"burst", Account.Limit.Burst},
+          {"weight", Account.Weight},
+          {"keys", arrayOf(std::span(Account.Keys), NameText)},
+          {"services", arrayOf(std::span(Account.Services), NameText)}};
+}
+
+route decodeRoute(const json::value &Value) {
+  route Route;
+  Route.PathPrefix = textOf(Value.at("path"));
+  for (const json::value &Method : Value.at("methods").as_array())
+    Route.Methods.emplace_back(textOf(Method));
+  Route.Repeatable = Value.at("repeatable").as_bool();
+  Route.Open = Value.at("open").as_bool();
+  Route.Deadline = std::chrono::milliseconds(
+      Value.at("deadline_ms").to_number<std::int64_t>());
+  Route.MaxBodyBytes = Value.at("max_body_bytes").to_number<std::uint64_t>();
+  return Route;
+}
+
+target decodeTarget(const json::value &Value) {
+  return {.Name = target_name(textOf(Value.at("name"))),
+          .DataCenter = data_center_name(textOf(Value.at("data_center"))),
+          .Address = std::string(textOf(Value.at("address"))),
+          .Port = Value.at("port").to_number<std::uint16_t>(),
+          .Slots = Value.at("slots").to_number<unsigned>(),
+          .MaxConnections = Value.at("max_connections").to_number<unsigned>()};
+}
+
+client_account decodeAccount(const json::value &Value) {
+  client_account Account;
+  Account.Name = account_name(textOf(Value.at("name")));
+  Account.Limit = {.RequestsPerSecond = Value.at("rate").to_number<double>(),
+                   .Burst = Value.at("burst").to_number<double>()};
+  Account.Weight = Value.at("weight").to_number<unsigned>();
+  for (const json::value &Digest : Value.at("keys").as_array())
+    Account.Keys.emplace_back(textOf(Digest));
+  for (const json::value &Name : Value.at("services").as_array())
+    Account.Services.emplace_back(textOf(Name));
+  return Account;
+}
+
+service_document documentFrom(const json::value &Value) {
+  service_document Document;
+  service &Service = Document.Service;
+  Service.Name = service_name(textOf(Value.at("service")));
+  Service.FloorPercent = Value.at("floor_percent").to_number<unsigned>();
+  Service.Ejection = textOf(Value.at("ejection")) == "fast"
+                         ? ejection_mode::Fast
+                         : ejection_mode::Careful;
+  Service.ProbePath = textOf(Value.at("probe_path"));
+  for (const json::value &Route : Value.at("routes").as_array())
+    Service.Routes.push_back(decodeRoute(Route));
+  for (const json::value &Target : Value.at("targets").as_array())
+    Service.Targets.push_back(decodeTarget(Target));
+  for (const json::value &Account : Value.at("accounts").as_array())
+    Document.Accounts.push_back(decodeAccount(Account));
+  return Document;
+}
+
+configuration_manifest manifestFrom(const json::value &Value) {
+  configuration_manifest Manifest;
+  Manifest.Revision = {Value.at("revision").to_number<std::uint64_t>()};
+  Manifest.PublishId = textOf(Value.at("publish_id"));
+  Manifest.Author = textOf(Value.at("author"));
+  Manifest.Reason = textOf(Value.at("reason"));
+  for (const json::value &Entry : Value.at("documents").as_array())
+    Manifest.Documents.push_back(
+        {.Service = service_name(textOf(Entry.at("service"))),
+         .Digest = std::string(textOf(Entry.at("digest")))});
+  return Manifest;
+}
+
+listed_vm vmFrom(const json::value &Value) {
+  return {.Name = vm_name(textOf(Value.at("name"))),
+          .DataCenter = data_center_name(textOf(Value.at("data_center"))),
+          .Address = std::string(textOf(Value.at("address"))),
+          .CallerPort = Value.at("caller_port").to_number<std::uint16_t>(),
+          .PeerPort = Value.at("peer_port").to_number<std::uint16_t>(),
+          .State = textOf(Value.at("state")) == "leaving"
+                       ? vm_list_state::Leaving
+                       : vm_list_state::Live};
+}
+
+/// Runs \p Decode on parsed JSON; Boost.JSON reports a wrong shape by
+/// exceptions, which become one typed error here.
+template <typename Decode>
+auto decodeWith(std::string_view Json, std::string_view What, Decode From)
+    -> result<decltype(From(json::value()))> {
+  try {
+    return From(json::parse(json::string_view(Json.data(), Json.size())));
+  } catch (const std::exception &Error) {
+    return fail(error_kind::Protocol,
+                std::string(What) + " cannot be read: " + Error.what(),
+                "publish again with a peridotctl of the same version");
+  }
+}
+
+} // namespace
+
+std::string documentObject(std::string_view Digest) {
+  return "document-" + std::string(Digest);
+}
+
+std::string encodeDocument(const service_document &Document) {
+  const service &Service = Document.Service;
+  return json::serialize(json::value{
+      {"service", text(Service.Name.view())},
+      {"floor_percent", Service.FloorPercent},
+      {"ejection",
+       Service.Ejection == ejection_mode::Fast ? "fast" : "careful"},
+      {"probe_path", text(Service.ProbePath)},
+      {"routes", arrayOf(std::span(Service.Routes), encodeRoute)},
+      {"targets", arrayOf(std::span(Service.Targets), encodeTarget)},
+      {"accounts", arrayOf(std::span(Document.Accounts), encodeAccount)}});
+}
+
+result<service_document> decodeDocument(std::string_view Json) {
+  return decodeWith(Json, "a service document", documentFrom);
+}
+
+std::string encodeManifest(const configuration_manifest &Manifest) {
+  const auto EncodeEntry = [](const manifest_entry &Entry) -> json::value {
+    return {{"service", text(Entry.Service.view())},
+            {"digest", text(Entry.Digest)}};
+  };
+  return json::serialize(json::value{
+      {"revision", Manifest.Revision.Value},
+      {"publish_id", text(Manifest.PublishId)},
+      {"author", text(Manifest.Author)},
+      {"reason", text(Manifest.Reason)},
+      {"documents", arrayOf(std::span(Manifest.Documents), EncodeEntry)}});
+}
+
+result<configuration_manifest> decodeManifest(std::string_view Json) {
+  return decodeWith(Json, "the configuration manifest", manifestFrom);
+}
+
+std::string encodeVmList(std::span<const listed_vm> Vms) {
+  const auto EncodeVm = [](const listed_vm &Vm) -> json::value {
+    return {{"name", text(Vm.Name.view())},
+            {"data_center", text(Vm.DataCenter.view())},
+            {"address", text(Vm.Address)},
+            {"caller_port", Vm.CallerPort},
+            {"peer_port", Vm.PeerPort},
+            {"state", Vm.State == vm_list_state::Live ? "live" : "leaving"}};
+  };
+  return json::serialize(arrayOf(Vms, EncodeVm));
+}
+
+result<std::vector<listed_vm>> decodeVmList(std::string_view Json) {
+  return decodeWith(Json, "the list of VMs", [](const json::value &Value) {
+    std::vector<listed_vm> Vms;
+    for (const json::value &Row : Value.as_array())
+      Vms.push_back(vmFrom(Row));
+    return Vms;
+  });
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/platform_documents/platform_documents.h
@@ -0,0 +1,45 @@
+/// \file
+/// JSON form of the objects that the platform's service keeps for us.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state/base/types/error.h"
+#include "state/configuration/types/configuration_manifest.h"
+#include "state/configuration/types/service_document.h"
+
+namespace peridot {
+
+/// Name of the object that says which configuration is in force.
+inline constexpr std::string_view CurrentObject = "current";
+
+/// Name of the immutable object that holds the document with \p Digest.
+std::string documentObject(std::string_view Digest);
+
+/// State of a VM in the platform's lagging list.
+enum class vm_list_state { Live, Leaving };
+
+/// One row of the platform's list of VMs.
+struct listed_vm {
+  vm_name Name;
+  data_center_name DataCenter;
+  std::string Address; ///< IP number.
+  std::uint16_t CallerPort = 0;
+  std::uint16_t PeerPort = 0;
+  vm_list_state State = vm_list_state::Live;
+
+  bool operator==(const listed_vm &) const = default;
+};
+
+std::string encodeDocument(const service_document &Document);
+result<service_document> decodeDocument(std::string_view Json);
+
+std::string encodeManifest(const configuration_manifest &Manifest);
+result<configuration_manifest> decodeManifest(std::string_view Json);
+
+std::string encodeVmList(std::span<const listed_vm> Vms);
+result<std::vector<listed_vm>> decodeVmList(std::string_view Json);
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/platform_documents/tests/platform_documents_test.cpp
@@ -0,0 +1,39 @@
+#include "protocol/platform_documents/platform_documents.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+
+TEST_CASE("decodeDocument_encodedDocument_roundTrips") {
+  const service_document Document{
+      .Service = {.Name = service_name("hive"),
+                  .FloorPercent = 70,
+                  .Ejection = ejection_mode::Fast,
+                  .Routes = {route{.PathPrefix = "/h", .Methods = {"GET"}}},
+                  .Targets = {target{.Name = target_name("t"),
+                                     .DataCenter = data_center_name("a"),
+                                     .Address = "127.0.0.1",
+                                     .Port = 80}}},
+      .Accounts = {client_account{.Name = account_name("k"),
+                                  .Limit = {1.5, 3},
+                                  .Keys = {key_digest("d")},
+                                  .Services = {service_name("hive")}}}};
+  CHECK(decodeDocument(encodeDocument(Document)).value() == Document);
+}
+
+TEST_CASE("decodeManifest_wrongShape_protocolError") {
+  const auto Manifest = decodeManifest(R"({"revision": "one"})");
+  REQUIRE_FALSE(Manifest);
+  CHECK(Manifest.error().Kind == error_kind::Protocol);
+  CHECK_FALSE(Manifest.error().Remedy.empty());
+}
+
+TEST_CASE("decodeVmList_encodedList_roundTrips") {
+  const std::vector<listed_vm> Vms = {{.Name = vm_name("vm-1"),
+                                       .DataCenter = data_center_name("a"),
+                                       .Address = "127.0.0.1",
+                                       .CallerPort = 1,
+                                       .PeerPort = 2,
+                                       .State = vm_list_state::Leaving}};
+  CHECK(decodeVmList(encodeVmList(Vms)).value() == Vms);
+}
--- /dev/null
+++ b/src/protocol/service_files/internal/service_file_reader.cpp
@@ -0,0 +1,148 @@
+#include "protocol/service_files/service_file_reader.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+
+#include "protocol/service_files/internal/table_reader.h"
+
+namespace peridot {
+
+namespace {
+
+constexpr std::int64_t MaxDeadlineMs = 600'000;
+constexpr std::int64_t MaxBodyBytes = std::int64_t{64} << 30;
+constexpr std::int64_t MaxSlots = 10'000;
+constexpr std::int64_t MaxConnections = 100'000;
+constexpr std::int64_t MaxWeight = 1'000;
+constexpr std::size_t DigestDigits = 64;
+
+bool isIpNumber(const std::string &Text) {
+  in6_addr Buffer{};
+  return inet_pton(AF_INET, Text.c_str(), &Buffer) == 1 ||
+         inet_pton(AF_INET6, Text.c_str(), &Buffer) == 1;
+}
+
+bool isDigest(std::string_view Text) {
+  return Text.size() == DigestDigits &&
+         std::ranges::all_of(Text, [](unsigned char Digit) {
+           return std::isdigit(Digit) || (Digit >= 'a' && Digit <= 'f');
+         });
+}
+
+route readRoute(table_reader Reader) {
+  route Route;
+  Route.PathPrefix = Reader.requireText("path");
+  if (!Route.PathPrefix.empty() && Route.PathPrefix.front() != '/')
+    Reader.addFault(Reader.find("path"), "'path' does not start with '/'",
+                    "write an absolute path");
+  Route.Methods = Reader.textsOr("methods");
+  Route.Repeatable = Reader.flagOr("repeatable", false);
+  Route.Open = Reader.flagOr("open", false);
+  Route.Deadline = std::chrono::milliseconds(Reader.integerOr(
+      "deadline_ms", Route.Deadline.count(), 1, MaxDeadlineMs));
+  Route.MaxBodyBytes = static_cast<std::uint64_t>(Reader.integerOr(
+      "max_body_bytes", static_cast<std::int64_t>(Route.MaxBodyBytes), 0,
+      MaxBodyBytes));
+  Reader.finish();
+  return Route;
+}
+
+target readTarget(table_reader Reader) {
+  target Target;
+  Target.Name = target_name(Reader.requireText("name"));
+  Target.DataCenter = data_center_name(Reader.requireText("data_center"));
+  Target.Address = Reader.requireText("address");
+  if (!Target.Address.empty() && !isIpNumber(Target.Address))
+    Reader.addFault(Reader.find("address"), "'address' is not an IP number",
+                    "write an IPv4 or IPv6 number, not a host name");
+  Target.Port =
+      static_cast<std::uint16_t>(Reader.requireInteger("port", 1, 65'535));
+  Target.Slots = static_cast<unsigned>(
+      Reader.integerOr("slots", Target.Slots, 1, MaxSlots));
+  Target.MaxConnections = static_cast<unsigned>(Reader.integerOr(
+      "max_connections", Target.MaxConnections, 1, MaxConnections));
+  Reader.finish();
+  return Target;
+}
+
+client_account readAccount(table_reader Reader, const service_name &Declaring) {
+  client_account Account;
+  Account.Name = account_name(Reader.requireText("name"));
+  Account.Limit = {.RequestsPerSecond = Reader.requirePositive("rate"),
+                   .Burst = Reader.requirePositive("burst")};
+  Account.Weight =
+      static_cast<unsigned>(Reader.integerOr("weight", 1, 1, MaxWeight));
+  for (const std::string &Digest : Reader.textsOr("keys")) {
+    if (!isDigest(Digest))
+      Reader.addFault(Reader.find("keys"), "a key is not a SHA-256 digest",
+                      "use the output of 'peridotctl keys digest'");
+    Account.Keys.emplace_back(Digest);
+  }
+  Account.Services = {Declaring};
+  for (const std::string &Name : Reader.textsOr("services"))
+    if (service_name Service(Name); Service != Declaring)
+      Account.Services.push_back(std::move(Service));
+  Reader.finish();
+  return Account;
+}
+
+ejection_mode readEjection(table_reader &Reader) {
+  const std::string Text = Reader.textOr("ejection", "careful");
+  if (Text != "fast" && Text != "careful")
+    Reader.addFault(Reader.find("ejection"), "'ejection' is not a known mode",
+                    "use \"fast\" or \"careful\"");
+  return Text == "fast" ? ejection_mode::Fast : ejection_mode::Careful;
+}
+
+service_document readDocument(std::string_view File, const toml::table &Root,
+                              file_faults &Faults) {
+  table_reader Reader(File, Root, Faults);
+  service_document Document;
+  service &Service = Document.Service;
+  Service.Name = service_name(Reader.requireText("service"));
+  Service.FloorPercent = static_cast<unsigned>(
+      Reader.integerOr("floor_percent", Service.FloorPercent, 0, 100));
+  Service.Ejection = readEjection(Reader);
+  Service.ProbePath = Reader.textOr("probe_path", Service.ProbePath);
+  for (const toml::table *Table : Reader.tables("route"))
+    Service.Routes.push_back(readRoute({File, *Table, Faults}));
+  for (const toml::table *Table : Reader.tables("target"))
+    Service.Targets.push_back(readTarget({File, *Table, Faults}));
+  for (const toml::table *Table : Reader.tables("account"))
+    Document.Accounts.push_back(
+        readAccount({File, *Table, Faults}, Service.Name));
+  Reader.finish();
+  return Document;
+}
+
+file_fault syntaxFault(std::string_view File, const toml::parse_error &Error) {
+  return {.File = std::string(File),
+          .Line = Error.source().begin.line,
+          .Column = Error.source().begin.column,
+          .Message = std::string(Error.description()),
+          .Remedy = "correct the TOML syntax"};
+}
+
+} // namespace
+
+std::string file_fault::text() const {
+  return File + ":" + std::to_string(Line) + ":" + std::to_string(Column) +
+         ": " + Message + "; " + Remedy;
+}
+
+tl::expected<service_document, file_faults>
+readServiceFile(std::string_view File, std::string_view Toml) {
+  file_faults Faults;
+  try {
+    const toml::table Root = toml::parse(Toml);
+    service_document Document = readDocument(File, Root, Faults);
+    if (Faults.empty())
+      return Document;
+  } catch (const toml::parse_error &Error) {
+    Faults.push_back(syntaxFault(File, Error));
+  }
+  return tl::unexpected<file_faults>(std::move(Faults));
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/state/configuration/configuration_index.h
@@ -0,0 +1,51 @@
+/// \file
+/// Look-ups over one immutable configuration.
+#pragma once
+
+#include <memory>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+
+#include "state/configuration/types/fleet_configuration.h"
+
+namespace peridot {
+
+/// A route together with the service that declares it.
+struct route_match {
+  const service *Service = nullptr;
+  const route *Route = nullptr;
+};
+
+/// Immutable look-up tables; safe to read from any thread.
+class configuration_index {
+public:
+  explicit configuration_index(fleet_configuration Configuration);
+  configuration_index(const configuration_index &) = delete;
+  configuration_index &operator=(const configuration_index &) = delete;
+
+  const fleet_configuration &configuration() const { return Configuration; }
+
+  /// The route with the longest prefix of \p Path that allows \p Method;
+  /// nullopt-like empty match when there is none.
+  route_match findRoute(std::string_view Method, std::string_view Path) const;
+
+  /// The account that owns a key, or nullptr.
+  const client_account *findAccountByKey(const key_digest &Digest) const;
+  const client_account *findAccount(const account_name &Name) const;
+  const service *findService(const service_name &Name) const;
+
+private:
+  fleet_configuration Configuration;
+  std::unordered_map<std::string_view, std::vector<route_match>> RoutesByPrefix;
+  std::unordered_map<key_digest, const client_account *> AccountsByKey;
+  std::unordered_map<account_name, const client_account *> AccountsByName;
+  std::unordered_map<service_name, const service *> ServicesByName;
+};
+
+using configuration_ptr = std::shared_ptr<const configuration_index>;
+
+/// True if \p Account may call \p Service.
+bool mayCall(const client_account &Account, const service_name &Service);
+
+} // namespace peridot
--- /dev/null
+++ b/src/state/configuration/types/service_document.h
@@ -0,0 +1,26 @@
+/// \file
+/// One service file as a value, and how documents make up a configuration.
+#pragma once
+
+#include <span>
+#include <vector>
+
+#include "state/base/types/error.h"
+#include "state/configuration/types/fleet_configuration.h"
+
+namespace peridot {
+
+/// A service with the client accounts that its file declares.
+struct service_document {
+  service Service;
+  std::vector<client_account> Accounts;
+
+  bool operator==(const service_document &) const = default;
+};
+
+/// Joins documents into one configuration.
+/// Fails with Conflict when two documents declare the same name, key or route.
+result<fleet_configuration> assemble(revision Revision,
+                                     std::span<const service_document> Parts);
+
+} // namespace peridot
--- /dev/null
+++ b/src/state/metrics/tests/metrics_registry_test.cpp
@@ -0,0 +1,24 @@
+#include "state/metrics/metrics_registry.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+TEST_CASE("latency_histogram_boundaries_fallIntoDoublingBuckets") {
+  latency_histogram Histogram;
+  Histogram.record(15us);
+  Histogram.record(16us);
+  Histogram.record(10h);
+  CHECK(Histogram.bucket(0) == 1);
+  CHECK(Histogram.bucket(1) == 1);
+  CHECK(Histogram.bucket(latency_histogram::BucketCount - 1) == 1);
+  CHECK(Histogram.count() == 3);
+}
+
+TEST_CASE("counterOf_sameSeries_sameCounter") {
+  metrics_registry Registry;
+  Registry.counterOf("a", "x=\"1\"").add(2);
+  Registry.counterOf("a", "x=\"1\"").add();
+  CHECK(Registry.readCounters().at(0).Value == 3);
+}
--- /dev/null
+++ b/src/state/ownership/tests/shard_map_test.cpp
@@ -0,0 +1,10 @@
+#include "state/ownership/types/shard_map.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+
+TEST_CASE("shardOf_sameName_sameShardInRange") {
+  CHECK(shardOf(account_name("keepers")) == shardOf(account_name("keepers")));
+  CHECK(shardOf(service_name("hive")).Value < ShardCount);
+}
--- /dev/null
+++ b/src/transport/callers/internal/caller_session.h
@@ -0,0 +1,45 @@
+/// \file
+/// One connection of a caller: reads requests one after the other.
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <optional>
+
+#include "coordination/routing/admission.h"
+#include "transport/callers/traffic_worker.h"
+
+namespace peridot {
+
+using caller_request_parser =
+    boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+/// State of one caller's connection.
+class caller_session {
+public:
+  /// Serves the connection until it closes.
+  static task<void> serve(traffic_worker &Worker, tcp_stream Stream);
+
+private:
+  caller_session(traffic_worker &Worker, tcp_stream Stream)
+      : Worker(Worker), Stream(std::move(Stream)) {}
+
+  task<void> run();
+  /// Reads one head; false when the connection is at its end.
+  task<bool> readHead();
+  /// Serves the request whose head was read; false to close the connection.
+  task<bool> serveRequest();
+  task<bool> answerAddresses();
+  task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
+  task<bool> refuse(const refusal &Refusal);
+  task<bool> sendText(unsigned Status, std::string ContentType,
+                      std::string Body, const refusal *Refusal);
+
+  traffic_worker &Worker;
+  tcp_stream Stream;
+  boost::beast::flat_buffer Buffer;
+  std::optional<caller_request_parser> Parser;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -0,0 +1,97 @@
+#include "transport/callers/traffic_worker.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include "transport/callers/internal/caller_session.h"
+
+namespace peridot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Time that attempts are gathered before control hears of them.
+constexpr std::chrono::milliseconds ObservationPeriod{100};
+
+} // namespace
+
+using reuse_port =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+traffic_worker::traffic_worker(traffic_options Chosen,
+                               metrics_registry &Metrics,
+                               const std::string &ThreadName)
+    : Options(std::move(Chosen)), Metrics(Metrics), Loop(ThreadName),
+      Acceptor(Loop.context()), Timers(Loop.context()) {}
+
+traffic_worker::~traffic_worker() { Loop.stop(); }
+
+result<std::uint16_t> traffic_worker::listen(std::uint16_t SharedPort) {
+  if (SharedPort != 0)
+    Options.Listen.port(SharedPort);
+  boost::system::error_code Error;
+  Acceptor.open(Options.Listen.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.set_option(reuse_port(true), Error);
+  if (!Error)
+    Acceptor.bind(Options.Listen, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return fail(error_kind::Unavailable,
+                "callers' port cannot be opened: " + Error.message(),
+                "choose another --listen_address or --caller_port");
+  return Acceptor.local_endpoint().port();
+}
+
+void traffic_worker::start() {
+  asio::co_spawn(Loop.context(), acceptCallers(), asio::detached);
+  asio::post(Loop.context(), [this] {
+    ObservationTimer = Timers.every(
+        ObservationPeriod, [this](instant) { handOverObservations(); });
+  });
+}
+
+void traffic_worker::observe(attempt_observation Observation) {
+  Observations.push_back(std::move(Observation));
+}
+
+void traffic_worker::handOverObservations() {
+  if (!Observations.empty())
+    Hooks.Observe(std::exchange(Observations, {}));
+}
+
+void traffic_worker::publish(snapshot_ptr Published) {
+  asio::post(Loop.context(), [this, Next = std::move(Published)]() mutable {
+    Snapshot = std::move(Next);
+  });
+}
+
+void traffic_worker::beginShutdown() {
+  asio::post(Loop.context(), [this] {
+    ShuttingDown = true;
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+  });
+}
+
+task<void> traffic_worker::acceptCallers() {
+  while (Acceptor.is_open()) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
+    if (Error)
+      continue;
+    if (Connections >= Options.Limits.MaxConnections)
+      continue; // The socket's destructor closes it.
+    Socket.set_option(asio::ip::tcp::no_delay(true), Error);
+    connectionOpened();
+    asio::co_spawn(Loop.context(),
+                   caller_session::serve(*this, tcp_stream(std::move(Socket))),
+                   asio::detached);
+  }
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/logging/internal/event_log.cpp
@@ -0,0 +1,106 @@
+#include "transport/logging/event_log.h"
+
+#include <chrono>
+#include <ctime>
+#include <string>
+
+#include <boost/json.hpp>
+#include <glog/logging.h>
+
+#include "state/base/types/overloaded.h"
+
+namespace peridot {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string_view nameOf(log_level Level) {
+  switch (Level) {
+  case log_level::Info:
+    return "info";
+  case log_level::Warning:
+    return "warning";
+  case log_level::Error:
+    return "error";
+  }
+  return "error";
+}
+
+json::string_view view(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+/// UTC time with milliseconds in ISO 8601.
+std::string timestamp(std::chrono::system_clock::time_point At) {
+  const auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          At.time_since_epoch())
+                          .count();
+  const std::time_t Seconds = Millis / 1000;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  char Text[32];
+  const std::size_t Length =
+      std::strftime(Text, sizeof(Text), "%Y-%m-%dT%H:%M:%S", &Parts);
+  std::string Fraction = std::to_string(1000 + Millis % 1000);
+  Fraction[0] = '.';
+  return std::string(Text, Length) + Fraction + "Z";
+}
+
+json::value toJson(const log_field &Field) {
+  return std::visit(
+      overloaded{[](std::string_view Text) { return json::value(view(Text)); },
+                 [](auto Plain) { return json::value(Plain); }},
+      Field.Value);
+}
+
+void writeLine(log_level Level, const std::string &Line) {
+  switch (Level) {
+  case log_level::Info:
+    LOG(INFO) << Line;
+    return;
+  case log_level::Warning:
+    LOG(WARNING) << Line;
+    return;
+  case log_level::Error:
+    LOG(ERROR) << Line;
+    return;
+  }
+}
+
+} // namespace
+
+void startEventLog(const char *ProgramName) {
+  FLAGS_logtostderr = true;
+  FLAGS_log_prefix = false;
+  google::InitGoogleLogging(ProgramName);
+}
+
+void logEvent(log_level Level, std::string_view Event,
+              std::initializer_list<log_field> Fields) {
+  json::object Line;
+  Line["time"] = timestamp(std::chrono::system_clock::now());
+  Line["level"] = view(nameOf(Level));
+  Line["event"] = view(Event);
+  for (const log_field &Field : Fields)
+    Line[view(Field.Key)] = toJson(Field);
+  writeLine(Level, json::serialize(Line));
+}
+
+void logError(std::string_view Event, const error &Error) {
+  logEvent(log_level::Error, Event,
+           {{"kind", nameOf(Error.Kind)},
+            {"message", std::string_view(Error.Message)},
+            {"remedy", std::string_view(Error.Remedy)}});
+}
+
+void logDecision(const decision &Decision) {
+  logEvent(log_level::Info, nameOf(Decision.Kind),
+           {{"subject", nameOf(Decision.Subject)},
+            {"name", std::string_view(Decision.Name)},
+            {"cause", std::string_view(Decision.Cause)},
+            {"evidence", std::string_view(Decision.Evidence)},
+            {"rule", std::string_view(Decision.Rule)}});
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/operators/internal/operator_client.cpp
@@ -0,0 +1,79 @@
+#include "transport/operators/operator_client.h"
+
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace peridot {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::chrono::seconds AskTimeout{5};
+
+tl::unexpected<error> nodeFailure(const asio::ip::tcp::endpoint &Endpoint,
+                                  const boost::system::error_code &Error) {
+  return fail(error_kind::Unavailable,
+              "node " + Endpoint.address().to_string() + ":" +
+                  std::to_string(Endpoint.port()) +
+                  " does not answer: " + Error.message(),
+              "check address and operators' port of the node");
+}
+
+task<result<operator_response>> exchange(asio::io_context &Loop,
+                                         asio::ip::tcp::endpoint Endpoint,
+                                         operator_request Asked) {
+  tcp_stream Stream(Loop.get_executor());
+  Stream.expires_after(AskTimeout);
+  auto [ConnectError] = co_await Stream.async_connect(Endpoint, UseTaskTuple);
+  if (ConnectError)
+    co_return nodeFailure(Endpoint, ConnectError);
+  http::request<http::string_body> Request(http::string_to_verb(Asked.Method),
+                                           Asked.Path, 11, Asked.Body);
+  Request.set(http::field::host, "node");
+  Request.prepare_payload();
+  auto [WriteError, Written] =
+      co_await http::async_write(Stream, Request, UseTaskTuple);
+  if (WriteError)
+    co_return nodeFailure(Endpoint, WriteError);
+  boost::beast::flat_buffer Buffer;
+  http::response<http::string_body> Response;
+  auto [ReadError, Read] =
+      co_await http::async_read(Stream, Buffer, Response, UseTaskTuple);
+  if (ReadError)
+    co_return nodeFailure(Endpoint, ReadError);
+  co_return operator_response{
+      .Status = Response.result_int(),
+      .ContentType = std::string(Response[http::field::content_type]),
+      .Body = std::move(Response.body())};
+}
+
+task<void> exchangeInto(asio::io_context &Loop,
+                        asio::ip::tcp::endpoint Endpoint,
+                        operator_request Asked,
+                        std::optional<result<operator_response>> &Out) {
+  Out = co_await exchange(Loop, std::move(Endpoint), std::move(Asked));
+}
+
+} // namespace
+
+result<operator_response>
+askOperatorPort(const asio::ip::tcp::endpoint &Endpoint,
+                const operator_request &Request) {
+  asio::io_context Loop(1);
+  std::optional<result<operator_response>> Outcome;
+  asio::co_spawn(Loop, exchangeInto(Loop, Endpoint, Request, Outcome),
+                 asio::detached);
+  Loop.run();
+  if (!Outcome)
+    return fail(error_kind::Internal, "the exchange broke off",
+                "report this as a defect");
+  return std::move(*Outcome);
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/operators/internal/operator_server.cpp
@@ -0,0 +1,80 @@
+#include "transport/operators/operator_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace peridot {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint64_t MaxOperatorBody = 64U << 10U;
+constexpr std::chrono::seconds OperatorTimeout{30};
+
+} // namespace
+
+operator_server::operator_server(asio::io_context &Loop,
+                                 asio::ip::tcp::endpoint Listen,
+                                 handler Answering)
+    : Loop(Loop), Endpoint(std::move(Listen)), Handler(std::move(Answering)),
+      Acceptor(Loop) {}
+
+result<std::uint16_t> operator_server::listen() {
+  boost::system::error_code Error;
+  Acceptor.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Endpoint, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return fail(error_kind::Unavailable,
+                "the operators' port cannot be opened: " + Error.message(),
+                "choose another --listen_address or --operator_port");
+  return Acceptor.local_endpoint().port();
+}
+
+void operator_server::start() {
+  asio::co_spawn(Loop, acceptOperators(), asio::detached);
+}
+
+task<void> operator_server::acceptOperators() {
+  while (Acceptor.is_open()) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
+    if (!Error)
+      asio::co_spawn(Loop, serve(tcp_stream(std::move(Socket))),
+                     asio::detached);
+  }
+}
+
+task<void> operator_server::serve(tcp_stream Stream) {
+  Stream.expires_after(OperatorTimeout);
+  beast::flat_buffer Buffer;
+  http::request_parser<http::string_body> Parser;
+  Parser.body_limit(MaxOperatorBody);
+  auto [ReadError, Read] =
+      co_await http::async_read(Stream, Buffer, Parser, UseTaskTuple);
+  if (ReadError)
+    co_return;
+  const auto &Request = Parser.get();
+  operator_response Answer =
+      Handler({.Method = std::string(Request.method_string()),
+               .Path = std::string(Request.target()),
+               .Body = Request.body()});
+  http::response<http::string_body> Response(
+      static_cast<http::status>(Answer.Status), 11, std::move(Answer.Body));
+  Response.set(http::field::content_type, Answer.ContentType);
+  Response.keep_alive(false);
+  Response.prepare_payload();
+  co_await http::async_write(Stream, Response, UseTaskTuple);
+  boost::system::error_code Ignored;
+  Stream.socket().shutdown(tcp_socket::shutdown_send, Ignored);
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/peers/internal/peer_link.cpp
@@ -0,0 +1,129 @@
+#include "transport/peers/internal/peer_link.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace peridot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds FirstBackOff{100};
+constexpr unsigned MaxBackOffDoublings = 4;
+/// A peer that takes no bytes for this long is dialed anew.
+constexpr std::chrono::seconds WriteTimeout{5};
+
+std::string subjectLabel(frame_subject Subject) {
+  return "subject=\"" + std::string(nameOf(Subject)) + "\"";
+}
+
+} // namespace
+
+peer_link::peer_link(asio::io_context &Loop, const peer_options &Options,
+                     peer_address Peer, metrics_registry &Metrics)
+    : Loop(Loop), Options(Options), Address(std::move(Peer)), Metrics(Metrics),
+      Wake(Loop) {}
+
+void peer_link::send(frame_subject Subject, bytes_view Body) {
+  if (Closed)
+    return;
+  if (Queue.size() == Options.QueueLimit) {
+    Queue.pop_front();
+    Metrics.counterOf("peridot_peer_dropped_total", subjectLabel(Subject))
+        .add();
+  }
+  Queue.push_back({Subject, {Body.begin(), Body.end()}});
+  Wake.cancel();
+  if (!Running) {
+    Running = true;
+    asio::co_spawn(Loop, run(shared_from_this()), asio::detached);
+  }
+}
+
+void peer_link::close() {
+  Closed = true;
+  Wake.cancel();
+  boost::system::error_code Ignored;
+  if (Stream)
+    Stream->socket().close(Ignored);
+}
+
+task<void> peer_link::run(std::shared_ptr<peer_link> Self) {
+  while (!Self->Closed && !Self->Queue.empty()) {
+    auto Encoder = co_await Self->dial();
+    if (Encoder) {
+      Self->Failures = 0;
+      co_await Self->drain(*Encoder);
+    } else {
+      co_await Self->backOff();
+    }
+  }
+  Self->Running = false;
+}
+
+task<std::optional<frame_encoder>> peer_link::dial() {
+  Stream.emplace(Loop.get_executor());
+  Stream->expires_after(Options.DialTimeout);
+  auto [ConnectError] =
+      co_await Stream->async_connect(Address.Endpoint, UseTaskTuple);
+  if (ConnectError || Closed)
+    co_return std::nullopt;
+  boost::system::error_code Ignored;
+  Stream->socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  link_challenge Challenge{};
+  auto [ReadError, Read] =
+      co_await asio::async_read(*Stream, asio::buffer(Challenge), UseTaskTuple);
+  if (ReadError || Closed)
+    co_return std::nullopt;
+  const std::vector<std::byte> Hello =
+      encodeHello(Options.Self, Options.FleetKey, Challenge);
+  auto [WriteError, Written] =
+      co_await asio::async_write(*Stream, asio::buffer(Hello), UseTaskTuple);
+  if (WriteError || Closed)
+    co_return std::nullopt;
+  co_return frame_encoder(
+      deriveSessionKey(Options.FleetKey, Challenge, Options.Self));
+}
+
+task<void> peer_link::drain(frame_encoder Encoder) {
+  while (!Closed) {
+    if (Queue.empty()) {
+      Wake.expires_after(Options.IdleLimit);
+      co_await Wake.async_wait(UseTaskTuple);
+      if (Queue.empty())
+        co_return;
+    }
+    const queued_message Message = std::move(Queue.front());
+    Queue.pop_front();
+    const std::vector<std::byte> Frame =
+        Encoder.encode(Message.Subject, Message.Body);
+    Stream->expires_after(WriteTimeout);
+    auto [Error, Written] =
+        co_await asio::async_write(*Stream, asio::buffer(Frame), UseTaskTuple);
+    if (Error)
+      co_return;
+    Metrics
+        .counterOf("peridot_peer_sent_bytes_total",
+                   subjectLabel(Message.Subject))
+        .add(Frame.size());
+  }
+}
+
+task<void> peer_link::backOff() {
+  const unsigned Doublings = std::min(Failures, MaxBackOffDoublings);
+  ++Failures;
+  const auto Until =
+      std::chrono::steady_clock::now() + FirstBackOff * (1U << Doublings);
+  // New messages cancel the timer; the back-off holds nevertheless.
+  while (!Closed && std::chrono::steady_clock::now() < Until) {
+    Wake.expires_at(Until);
+    co_await Wake.async_wait(UseTaskTuple);
+  }
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/platform/configuration_publisher.h
@@ -0,0 +1,44 @@
+/// \file
+/// Stores documents at the platform and moves `current` to them.
+#pragma once
+
+#include <span>
+
+#include "coordination/publishing/publish_plan.h"
+#include "transport/platform/platform_client.h"
+
+namespace peridot {
+
+/// What came of a publish.
+struct publish_report {
+  revision Revision;
+  bool WasInForce = false; ///< An earlier try had succeeded already.
+};
+
+/// Why a configuration is changed.
+struct publish_intent {
+  std::string PublishId; ///< Same for every try of one publish.
+  std::string Author;
+  std::string Reason;
+};
+
+/// Publishes whole configurations.
+class configuration_publisher {
+public:
+  explicit configuration_publisher(platform_client &Platform)
+      : Platform(Platform) {}
+
+  /// Puts exactly \p Documents in force. Conflict: someone else published
+  /// meanwhile, and nothing was changed.
+  task<result<publish_report>> publish(std::vector<service_document> Documents,
+                                       publish_intent Intent);
+
+private:
+  task<result<std::vector<manifest_entry>>>
+  storeDocuments(std::span<const service_document> Documents);
+  task<result<publish_report>> moveCurrent(publish_request Request);
+
+  platform_client &Platform;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/platform/internal/platform_client.cpp
@@ -0,0 +1,148 @@
+#include "transport/platform/platform_client.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace peridot {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+using platform_request = http::request<http::string_body>;
+using platform_response = http::response<http::string_body>;
+
+constexpr std::uint64_t MaxObjectBytes = 2U << 20U;
+constexpr std::string_view VersionField = "Peridot-Version";
+constexpr std::string_view IfVersionField = "Peridot-If-Version";
+
+beast::string_view view(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+tl::unexpected<error> platformFailure(std::string_view Step,
+                                      const boost::system::error_code &Error) {
+  const bool TimedOut = Error == beast::error::timeout;
+  return fail(TimedOut ? error_kind::Timeout : error_kind::Unavailable,
+              "the platform failed at " + std::string(Step) + ": " +
+                  Error.message(),
+              "check that the platform's service is up; the call may be "
+              "repeated");
+}
+
+platform_request makeRequest(http::verb Verb, std::string_view Target) {
+  platform_request Request(Verb, view(Target), 11);
+  Request.set(http::field::host, "platform");
+  Request.keep_alive(false);
+  return Request;
+}
+
+task<result<platform_response>> exchange(boost::asio::io_context &Loop,
+                                         platform_options Options,
+                                         std::chrono::milliseconds Timeout,
+                                         platform_request Request) {
+  tcp_stream Stream(Loop.get_executor());
+  Stream.expires_after(Timeout);
+  auto [ConnectError] =
+      co_await Stream.async_connect(Options.Endpoint, UseTaskTuple);
+  if (ConnectError)
+    co_return platformFailure("connecting", ConnectError);
+  auto [WriteError, Written] =
+      co_await http::async_write(Stream, Request, UseTaskTuple);
+  if (WriteError)
+    co_return platformFailure("sending", WriteError);
+  beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxObjectBytes);
+  auto [ReadError, Read] =
+      co_await http::async_read(Stream, Buffer, Parser, UseTaskTuple);
+  if (ReadError)
+    co_return platformFailure("reading", ReadError);
+  co_return Parser.release();
+}
+
+result<std::uint64_t> versionOf(const platform_response &Response) {
+  const auto Text = Response[view(VersionField)];
+  std::uint64_t Version = 0;
+  for (char Digit : Text) {
+    if (Digit < '0' || Digit > '9')
+      return fail(error_kind::Protocol, "the platform sent a bad version",
+                  "check that the address is the platform's");
+    Version = Version * 10 + static_cast<std::uint64_t>(Digit - '0');
+  }
+  return Version;
+}
+
+tl::unexpected<error> unexpectedStatus(const platform_response &Response) {
+  return fail(error_kind::Unavailable,
+              "the platform answered " + std::to_string(Response.result_int()),
+              "check that the platform's service is up");
+}
+
+result<std::optional<stored_object>>
+objectFrom(result<platform_response> Response) {
+  if (!Response)
+    return tl::unexpected(Response.error());
+  if (Response->result() == http::status::not_found ||
+      Response->result() == http::status::not_modified)
+    return std::nullopt;
+  if (Response->result() != http::status::ok)
+    return unexpectedStatus(*Response);
+  const auto Version = versionOf(*Response);
+  if (!Version)
+    return tl::unexpected(Version.error());
+  return stored_object{*Version, std::move(Response->body())};
+}
+
+} // namespace
+
+task<result<std::optional<stored_object>>>
+platform_client::read(std::string Name) {
+  platform_request Request = makeRequest(http::verb::get, "/objects/" + Name);
+  co_return objectFrom(co_await exchange(Loop, Options, Options.CallTimeout,
+                                         std::move(Request)));
+}
+
+task<result<std::optional<stored_object>>>
+platform_client::watch(std::string Name, std::uint64_t After,
+                       std::chrono::milliseconds Wait) {
+  platform_request Request = makeRequest(
+      http::verb::get, "/objects/" + Name + "?after=" + std::to_string(After) +
+                           "&wait_ms=" + std::to_string(Wait.count()));
+  co_return objectFrom(co_await exchange(
+      Loop, Options, Wait + Options.CallTimeout, std::move(Request)));
+}
+
+task<result<std::uint64_t>> platform_client::write(std::string Name,
+                                                   std::uint64_t Expected,
+                                                   std::string Body) {
+  platform_request Request = makeRequest(http::verb::put, "/objects/" + Name);
+  Request.set(view(IfVersionField), std::to_string(Expected));
+  Request.body() = std::move(Body);
+  Request.prepare_payload();
+  const result<platform_response> Response =
+      co_await exchange(Loop, Options, Options.CallTimeout, std::move(Request));
+  if (!Response)
+    co_return tl::unexpected(Response.error());
+  if (Response->result() == http::status::conflict)
+    co_return fail(error_kind::Conflict,
+                   "object '" + Name + "' was changed by someone else",
+                   "read it again and decide anew");
+  if (Response->result() != http::status::ok)
+    co_return unexpectedStatus(*Response);
+  co_return versionOf(*Response);
+}
+
+task<result<std::vector<listed_vm>>> platform_client::listVms() {
+  platform_request Request = makeRequest(http::verb::get, "/vms");
+  const result<platform_response> Response =
+      co_await exchange(Loop, Options, Options.CallTimeout, std::move(Request));
+  if (!Response)
+    co_return tl::unexpected(Response.error());
+  if (Response->result() != http::status::ok)
+    co_return unexpectedStatus(*Response);
+  co_return decodeVmList(Response->body());
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/platform/platform_client.h
@@ -0,0 +1,56 @@
+/// \file
+/// Calls to the platform's object API.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/platform_documents/platform_documents.h"
+#include "transport/runtime/asio_types.h"
+
+namespace peridot {
+
+/// An object as the platform holds it.
+struct stored_object {
+  std::uint64_t Version = 0; ///< Starts at 1; 0 stands for "does not exist".
+  std::string Body;
+};
+
+struct platform_options {
+  boost::asio::ip::tcp::endpoint Endpoint;
+  std::chrono::milliseconds CallTimeout{2'000};
+};
+
+/// Talks to the platform from one event loop.
+class platform_client {
+public:
+  platform_client(boost::asio::io_context &Loop, platform_options Options)
+      : Loop(Loop), Options(std::move(Options)) {}
+
+  /// Reads an object; empty when it does not exist.
+  task<result<std::optional<stored_object>>> read(std::string Name);
+
+  /// Waits until the object's version is above \p After; empty when that did
+  /// not happen within \p Wait.
+  task<result<std::optional<stored_object>>>
+  watch(std::string Name, std::uint64_t After, std::chrono::milliseconds Wait);
+
+  /// Writes an object if its version is still \p Expected and returns the new
+  /// one. Conflict: another write came first. Timeout or Unavailable: the
+  /// write may have taken effect; read back to find out.
+  task<result<std::uint64_t>> write(std::string Name, std::uint64_t Expected,
+                                    std::string Body);
+
+  /// The lagging list of live and leaving VMs.
+  task<result<std::vector<listed_vm>>> listVms();
+
+private:
+  boost::asio::io_context &Loop;
+  platform_options Options;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/runtime/internal/timer_service.cpp
@@ -0,0 +1,80 @@
+#include "transport/runtime/timer_service.h"
+
+#include <ctime>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace peridot {
+
+instant bootNow() {
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return instant(std::chrono::seconds(Now.tv_sec) +
+                 std::chrono::nanoseconds(Now.tv_nsec));
+}
+
+struct timer_subscription::state {
+  state(boost::asio::io_context &Loop, duration Interval, bool Repeats,
+        timer_service::callback Callback)
+      : Timer(Loop), Interval(Interval), Repeats(Repeats),
+        Callback(std::move(Callback)) {}
+
+  static void arm(const std::shared_ptr<state> &Self);
+  static void fire(const std::shared_ptr<state> &Self);
+
+  boost::asio::steady_timer Timer;
+  duration Interval;
+  bool Repeats;
+  bool Cancelled = false;
+  timer_service::callback Callback;
+};
+
+void timer_subscription::state::arm(const std::shared_ptr<state> &Self) {
+  Self->Timer.expires_after(Self->Interval);
+  Self->Timer.async_wait([Self](const boost::system::error_code &Error) {
+    if (!Error && !Self->Cancelled)
+      fire(Self);
+  });
+}
+
+void timer_subscription::state::fire(const std::shared_ptr<state> &Self) {
+  Self->Callback(bootNow());
+  if (Self->Repeats && !Self->Cancelled)
+    arm(Self);
+}
+
+timer_subscription::timer_subscription(std::shared_ptr<state> Armed)
+    : State(std::move(Armed)) {}
+
+timer_subscription &
+timer_subscription::operator=(timer_subscription &&Other) noexcept {
+  cancel();
+  State = std::move(Other.State);
+  return *this;
+}
+
+timer_subscription::~timer_subscription() { cancel(); }
+
+void timer_subscription::cancel() {
+  if (!State)
+    return;
+  State->Cancelled = true;
+  State->Timer.cancel();
+  State.reset();
+}
+
+timer_subscription timer_service::every(duration Period, callback Callback) {
+  auto State = std::make_shared<timer_subscription::state>(Loop, Period, true,
+                                                           std::move(Callback));
+  timer_subscription::state::arm(State);
+  return timer_subscription(std::move(State));
+}
+
+timer_subscription timer_service::once(duration Delay, callback Callback) {
+  auto State = std::make_shared<timer_subscription::state>(Loop, Delay, false,
+                                                           std::move(Callback));
+  timer_subscription::state::arm(State);
+  return timer_subscription(std::move(State));
+}
+
+} // namespace peridot
--- /dev/null
+++ b/tests/stand_ins/http_server.cpp
@@ -0,0 +1,104 @@
+#include "stand_ins/http_server.h"
+
+#include <iostream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace peridot::stand_in {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+task<bool> sendTruncated(tcp_stream &Stream, const handled &Handled) {
+  const std::string Body =
+      Handled.Response.body().substr(0, Handled.TruncateAt);
+  const std::string Text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(Handled.Response.body().size()) +
+                           "\r\n\r\n" + Body;
+  co_await asio::async_write(Stream, asio::buffer(Text), UseTaskTuple);
+  co_return false;
+}
+
+task<bool> answerOne(tcp_stream &Stream, boost::beast::flat_buffer &Buffer,
+                     http_handler &Handler) {
+  http::request_parser<http::string_body> Parser;
+  Parser.body_limit(boost::none);
+  auto [ReadError, Read] =
+      co_await http::async_read(Stream, Buffer, Parser, UseTaskTuple);
+  if (ReadError)
+    co_return false;
+  handled Handled = co_await Handler(Parser.get());
+  if (Handled.DropAnswer)
+    co_return false;
+  if (Handled.TruncateAt >= 0)
+    co_return co_await sendTruncated(Stream, Handled);
+  Handled.Response.keep_alive(Parser.get().keep_alive() &&
+                              Handled.Response.keep_alive());
+  Handled.Response.prepare_payload();
+  auto [WriteError, Written] =
+      co_await http::async_write(Stream, Handled.Response, UseTaskTuple);
+  co_return !WriteError && Handled.Response.keep_alive();
+}
+
+task<void> serveConnection(tcp_stream Stream, http_handler Handler) {
+  boost::beast::flat_buffer Buffer;
+  while (co_await answerOne(Stream, Buffer, Handler)) {
+  }
+}
+
+task<void> acceptAll(asio::io_context &Loop, tcp_acceptor Acceptor,
+                     http_handler Handler) {
+  while (true) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
+    if (Error)
+      continue;
+    Socket.set_option(asio::ip::tcp::no_delay(true), Error);
+    asio::co_spawn(Loop,
+                   serveConnection(tcp_stream(std::move(Socket)), Handler),
+                   asio::detached);
+  }
+}
+
+} // namespace
+
+void serveHttp(asio::io_context &Loop, std::uint16_t Port,
+               http_handler Handler) {
+  tcp_acceptor Acceptor(
+      Loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), Port));
+  std::cerr << R"({"event":"listening","port":)"
+            << Acceptor.local_endpoint().port() << "}" << std::endl;
+  asio::co_spawn(Loop, acceptAll(Loop, std::move(Acceptor), std::move(Handler)),
+                 asio::detached);
+}
+
+std::string queryValue(std::string_view Target, std::string_view Name,
+                       std::string_view Default) {
+  std::size_t Start = Target.find('?');
+  while (Start != std::string_view::npos) {
+    const std::string_view Rest = Target.substr(Start + 1);
+    const std::string_view Pair = Rest.substr(0, Rest.find('&'));
+    const std::size_t Equals = Pair.find('=');
+    if (Pair.substr(0, Equals) == Name && Equals != std::string_view::npos)
+      return std::string(Pair.substr(Equals + 1));
+    Start = Target.find('&', Start + 1);
+  }
+  return std::string(Default);
+}
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+http_response textResponse(unsigned Status, std::string Body) {
+  http_response Response(static_cast<http::status>(Status), 11);
+  Response.body() = std::move(Body);
+  return Response;
+}
+
+} // namespace peridot::stand_in
--- /dev/null
+++ b/tests/stand_ins/target/main.cpp
@@ -0,0 +1,105 @@
+/// \file
+/// Stand-in for a target. It records each request that it ran; tests set its
+/// behaviour under /admin.
+
+#include <boost/asio/steady_timer.hpp>
+#include <gflags/gflags.h>
+
+#include "stand_ins/http_server.h"
+#include "stand_ins/target/target_behaviour.h"
+
+DEFINE_int32(port, 0, "Port to listen on; 0: any free port");
+DEFINE_string(name, "target", "Name that answers carry");
+
+namespace peridot::stand_in {
+
+namespace {
+
+class target_server {
+public:
+  explicit target_server(boost::asio::io_context &Loop) : Loop(Loop) {}
+
+  task<handled> handle(const http_request &Request) {
+    const std::string Target(Request.target());
+    if (Target.starts_with("/admin/"))
+      co_return handled{administer(Target)};
+    if (Target == "/health")
+      co_return handled{textResponse(200, "ok")};
+    if (Behaviour.Shed)
+      co_return handled{shedResponse()};
+    record(Request);
+    co_await work();
+    co_return answer(Request);
+  }
+
+private:
+  bool rolls(unsigned Percent) { return Random() % 100 < Percent; }
+
+  void record(const http_request &Request) {
+    Executions.push_back({.RequestId = std::string(Request["X-Request-Id"]),
+                          .Account = std::string(Request["Peridot-Account"]),
+                          .SawKey = Request.count("Peridot-Key") > 0});
+  }
+
+  task<void> work() {
+    auto Time = Behaviour.Delay;
+    if (rolls(Behaviour.SlowPercent))
+      Time = Behaviour.SlowDelay;
+    if (rolls(Behaviour.SilentPercent))
+      Time = std::chrono::hours(1);
+    if (Time.count() == 0)
+      co_return;
+    boost::asio::steady_timer Timer(Loop, Time);
+    co_await Timer.async_wait(UseTaskTuple);
+  }
+
+  handled answer(const http_request &Request) {
+    if (rolls(Behaviour.DropPercent))
+      return {.Response = {}, .DropAnswer = true};
+    if (rolls(Behaviour.FailPercent))
+      return {textResponse(500, "failed")};
+    std::string Body = Request.body();
+    if (Behaviour.AnswerBytes > 0)
+      Body.assign(Behaviour.AnswerBytes, 'a');
+    http_response Response = textResponse(200, std::move(Body));
+    Response.set("X-Target", FLAGS_name);
+    Response.set("X-Request-Id", Request["X-Request-Id"]);
+    if (Behaviour.Draining)
+      Response.set("Peridot-Target-State", "draining");
+    return {.Response = std::move(Response),
+            .TruncateAt = Behaviour.TruncateAt};
+  }
+
+  static http_response shedResponse() {
+    http_response Response = textResponse(503, "shed");
+    Response.set("Peridot-Target-State", "shed");
+    return Response;
+  }
+
+  http_response administer(const std::string &Target) {
+    if (pathOf(Target) == "/admin/behaviour") {
+      Behaviour = parseBehaviour(Target);
+      return textResponse(200, "");
+    }
+    return textResponse(200, encodeExecutions(Executions));
+  }
+
+  boost::asio::io_context &Loop;
+  target_behaviour Behaviour;
+  std::vector<execution> Executions;
+  std::mt19937 Random{20261204};
+};
+
+} // namespace
+
+} // namespace peridot::stand_in
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  boost::asio::io_context Loop(1);
+  peridot::stand_in::target_server Server(Loop);
+  peridot::stand_in::serveHttp(
+      Loop, static_cast<std::uint16_t>(FLAGS_port),
+      [&](const auto &Request) { return Server.handle(Request); });
+  Loop.run();
+}
--- /dev/null
+++ b/tests/support/fleet_fixture.h
@@ -0,0 +1,79 @@
+/// \file
+/// A fleet of real processes for integration tests.
+#pragma once
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/http_client.h"
+#include "support/process.h"
+
+namespace peridot::test {
+
+/// A running node and its ports.
+struct running_node {
+  std::string Name;
+  std::string DataCenter;
+  std::unique_ptr<process> Process;
+  std::uint16_t CallerPort = 0;
+  std::uint16_t PeerPort = 0;
+  std::uint16_t OperatorPort = 0;
+  std::string ListState = "live";
+  /// Port shown to the other nodes instead of PeerPort, for a fault proxy.
+  std::uint16_t AdvertisedPeerPort = 0;
+};
+
+struct running_target {
+  std::string Name;
+  std::string DataCenter;
+  std::unique_ptr<process> Process;
+  std::uint16_t Port = 0;
+
+  http_answer behave(const std::string &Query) const;
+  std::string executions() const;
+};
+
+/// Starts a platform stand-in; nodes and targets are added by tests.
+class fleet_fixture {
+public:
+  fleet_fixture();
+  ~fleet_fixture();
+
+  running_target &addTarget(const std::string &Name,
+                            const std::string &DataCenter);
+  running_node &addNode(const std::string &Name, const std::string &DataCenter,
+                        const std::vector<std::string> &ExtraFlags = {});
+  /// Tells the platform which nodes exist.
+  void listNodes();
+  void platformFaults(const std::string &Query) const;
+
+  /// Writes a service file that lists all targets so far.
+  void writeServiceFile(const std::string &Service,
+                        const std::string &RoutesAndAccounts);
+  finished_program publish(const std::string &Reason,
+                           const std::vector<std::string> &ExtraFlags = {});
+  finished_program ctl(const std::vector<std::string> &Args,
+                       const std::string &Input = "") const;
+  /// Waits until every running node has \p Revision in force.
+  void awaitRevision(int Revision);
+  void awaitReady(const running_node &Node) const;
+
+  std::string folder() const { return Folder.string(); }
+  std::string platformFlag() const;
+
+  std::unique_ptr<process> Platform;
+  std::uint16_t PlatformPort = 0;
+  std::vector<std::unique_ptr<running_node>> Nodes;
+  std::vector<std::unique_ptr<running_target>> Targets;
+
+private:
+  std::filesystem::path Folder;
+};
+
+/// TOML line of an account with one key.
+std::string accountToml(const std::string &Name, const std::string &Key,
+                        double Rate, double Burst);
+
+} // namespace peridot::test
--- /dev/null
+++ b/tests/support/http_client.cpp
@@ -0,0 +1,94 @@
+#include "support/http_client.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace peridot::test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+struct http_connection::impl {
+  asio::io_context Loop;
+  asio::ip::tcp::socket Socket{Loop};
+  boost::beast::flat_buffer Buffer;
+};
+
+namespace {
+
+http_answer toAnswer(const http::response<http::string_body> &Response) {
+  http_answer Answer{.Status = Response.result_int(), .Body = Response.body()};
+  for (const auto &Field : Response) {
+    std::string Name(Field.name_string());
+    std::ranges::transform(Name, Name.begin(), [](unsigned char Letter) {
+      return static_cast<char>(std::tolower(Letter));
+    });
+    Answer.Fields[Name] = std::string(Field.value());
+  }
+  return Answer;
+}
+
+} // namespace
+
+http_connection::http_connection(std::uint16_t Port)
+    : Impl(std::make_unique<impl>()) {
+  boost::system::error_code Error;
+  Impl->Socket.connect({asio::ip::make_address("127.0.0.1"), Port}, Error);
+}
+
+http_connection::~http_connection() = default;
+
+http_answer http_connection::call(const http_call &Call) {
+  http::request<http::string_body> Request(http::string_to_verb(Call.Method),
+                                           Call.Path, 11, Call.Body);
+  Request.set(http::field::host, "fleet");
+  for (const http_field &Field : Call.Fields)
+    Request.insert(Field.Name, Field.Value);
+  Request.prepare_payload();
+  boost::system::error_code Error;
+  http::write(Impl->Socket, Request, Error);
+  if (Error)
+    return {.Error = Error.message()};
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(boost::none);
+  Parser.skip(Call.Method == "HEAD");
+  http::read(Impl->Socket, Impl->Buffer, Parser, Error);
+  if (Error)
+    return {.Error = Error.message()};
+  return toAnswer(Parser.get());
+}
+
+std::string http_connection::sendRaw(const std::string &Bytes) {
+  boost::system::error_code Error;
+  asio::write(Impl->Socket, asio::buffer(Bytes), Error);
+  std::string Received;
+  char Chunk[4096];
+  while (!Error) {
+    const std::size_t Size = Impl->Socket.read_some(asio::buffer(Chunk), Error);
+    Received.append(Chunk, Size);
+  }
+  return Received;
+}
+
+http_answer httpCall(std::uint16_t Port, const http_call &Call) {
+  return http_connection(Port).call(Call);
+}
+
+void throwNotReached(const std::string &What) {
+  throw std::runtime_error("not reached in time: " + What);
+}
+
+void pauseBetweenTries() {
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+}
+
+} // namespace peridot::test
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,170 @@
+#include "support/process.h"
+
+#include <chrono>
+#include <cstring>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/json.hpp>
+
+namespace peridot::test {
+
+namespace {
+
+constexpr std::chrono::seconds GenerousLimit{60};
+
+std::string pathOfProgram(const std::string &Program) {
+  const std::string Root = PERIDOT_BINARY_DIR;
+  if (Program == "peridotport" || Program == "peridotctl")
+    return Root + "/apps/" + Program + "/" + Program;
+  return Root + "/tests/" + Program;
+}
+
+/// Starts a program with its standard error, and standard output if asked, on
+/// \p Pipe.
+pid_t spawn(const std::string &Program, const std::vector<std::string> &Args,
+            int Pipe, int Input) {
+  const std::string Path = pathOfProgram(Program);
+  std::vector<char *> Argv{const_cast<char *>(Path.c_str())};
+  for (const std::string &Arg : Args)
+    Argv.push_back(const_cast<char *>(Arg.c_str()));
+  Argv.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_adddup2(&Actions, Pipe, STDERR_FILENO);
+  posix_spawn_file_actions_adddup2(&Actions, Pipe, STDOUT_FILENO);
+  if (Input >= 0)
+    posix_spawn_file_actions_adddup2(&Actions, Input, STDIN_FILENO);
+  pid_t Pid = -1;
+  const int Failure =
+      posix_spawn(&Pid, Path.c_str(), &Actions, nullptr, Argv.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Failure != 0)
+    throw std::runtime_error("cannot start " + Path + ": " +
+                             std::strerror(Failure));
+  return Pid;
+}
+
+struct pipe_ends {
+  int Read = -1;
+  int Write = -1;
+};
+
+pipe_ends makePipe() {
+  int Ends[2];
+  if (pipe2(Ends, O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot make a pipe");
+  return {Ends[0], Ends[1]};
+}
+
+int exitCodeFrom(int Status) {
+  return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+}
+
+} // namespace
+
+process::process(const std::string &Program,
+                 const std::vector<std::string> &Args) {
+  const pipe_ends Ends = makePipe();
+  Pid = spawn(Program, Args, Ends.Write, -1);
+  close(Ends.Write);
+  Pipe = Ends.Read;
+  Reader = std::thread([this] { readLines(); });
+}
+
+process::~process() {
+  if (!Reaped) {
+    kill(Pid, SIGCONT);
+    kill(Pid, SIGKILL);
+    waitpid(Pid, nullptr, 0);
+  }
+  Reader.join();
+  close(Pipe);
+}
+
+void process::readLines() {
+  std::string Partial;
+  char Chunk[4096];
+  while (true) {
+    const ssize_t Size = read(Pipe, Chunk, sizeof(Chunk));
+    const std::lock_guard Lock(Mutex);
+    if (Size <= 0) {
+      Ended = true;
+      Changed.notify_all();
+      return;
+    }
+    for (ssize_t Index = 0; Index < Size; ++Index) {
+      if (Chunk[Index] != '\n') {
+        Partial.push_back(Chunk[Index]);
+        continue;
+      }
+      Lines.push_back(std::move(Partial));
+      Partial.clear();
+    }
+    Changed.notify_all();
+  }
+}
+
+std::string process::awaitLine(const std::string &Text) {
+  std::unique_lock Lock(Mutex);
+  std::string Found;
+  std::size_t Next = 0;
+  const auto Arrived = [&] {
+    for (; Next < Lines.size(); ++Next)
+      if (Lines[Next].find(Text) != std::string::npos) {
+        Found = Lines[Next];
+        return true;
+      }
+    return Ended;
+  };
+  if (!Changed.wait_for(Lock, GenerousLimit, Arrived) || Found.empty())
+    throw std::runtime_error("no line with '" + Text + "' came");
+  return Found;
+}
+
+std::vector<std::string> process::lines() const {
+  const std::lock_guard Lock(Mutex);
+  return Lines;
+}
+
+void process::signal(int Signal) const { kill(Pid, Signal); }
+
+int process::awaitExit() {
+  if (!Reaped) {
+    waitpid(Pid, &ExitStatus, 0);
+    Reaped = true;
+  }
+  return exitCodeFrom(ExitStatus);
+}
+
+finished_program runProgram(const std::string &Program,
+                            const std::vector<std::string> &Args,
+                            const std::string &Input) {
+  const pipe_ends Output = makePipe();
+  const pipe_ends In = makePipe();
+  const pid_t Pid = spawn(Program, Args, Output.Write, In.Read);
+  close(Output.Write);
+  close(In.Read);
+  if (write(In.Write, Input.data(), Input.size()) < 0)
+    throw std::runtime_error("cannot write to " + Program);
+  close(In.Write);
+  finished_program Finished;
+  char Chunk[4096];
+  ssize_t Size = 0;
+  while ((Size = read(Output.Read, Chunk, sizeof(Chunk))) > 0)
+    Finished.Output.append(Chunk, static_cast<std::size_t>(Size));
+  close(Output.Read);
+  int Status = 0;
+  waitpid(Pid, &Status, 0);
+  Finished.ExitCode = exitCodeFrom(Status);
+  return Finished;
+}
+
+int jsonInteger(const std::string &Line, const std::string &Field) {
+  return boost::json::parse(Line).at(Field).to_number<int>();
+}
+
+} // namespace peridot::test
