Own shards by leases that peers confirm

Cause: limits and ejections need one owner per shard that keeps acting while the platform is away and stops by itself when it is cut off.

A machine over typed events holds one lease per VM incarnation for all its shards: questions to three witnesses, counted from the moment of sending; final refusals of witnesses, releases or a VM that is gone allow a claim by a conditional update of the object 'shards'. Ruled out: one exchange per shard (256 instead of one), renewals at the platform (every right lapses in an outage).

Conclusion: Context.Ownership is filled; /status shows shards_owned, shards_acting and acting_for_ms.

--- /dev/null
+++ b/src/coordination/ownership/types/lease_messages.h
@@ -0,0 +1,64 @@
+/// \file
+/// What VMs tell each other about leases and shards.
+#pragma once
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "state/ownership/types/shard_map.h"
+
+namespace peridot {
+
+/// An owner asks a witness to confirm its lease; the sender's incarnation is
+/// known from the link. One question covers all shards of the owner.
+struct lease_question {
+  std::uint64_t Sequence = 0;
+
+  bool operator==(const lease_question &) const = default;
+};
+
+/// A witness answers a question.
+struct lease_answer {
+  std::uint64_t Sequence = 0;
+  bool Confirmed = false; ///< False: will never be confirmed again.
+
+  bool operator==(const lease_answer &) const = default;
+};
+
+/// A witness tells that an owner's promise has run out. \p Final: the witness
+/// will never confirm this incarnation again.
+struct lease_lapse {
+  vm_incarnation Owner;
+  bool Final = false;
+
+  bool operator==(const lease_lapse &) const = default;
+};
+
+/// A candidate for an owner's shards asks a witness for a final lapse.
+struct lapse_request {
+  vm_incarnation Owner;
+
+  bool operator==(const lapse_request &) const = default;
+};
+
+/// A shard in one term of its ownership.
+struct shard_term {
+  shard_number Shard;
+  epoch Epoch;
+
+  auto operator<=>(const shard_term &) const = default; // NOLINT
+};
+
+/// An owner tells a successor that it has stopped acting for these terms and
+/// will not act for them again.
+struct shard_release {
+  std::vector<shard_term> Terms;
+
+  bool operator==(const shard_release &) const = default;
+};
+
+using lease_message = std::variant<lease_question, lease_answer, lease_lapse,
+                                   lapse_request, shard_release>;
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/ownership_messages/internal/lease_codec.cpp
@@ -0,0 +1,124 @@
+#include "protocol/ownership_messages/lease_codec.h"
+
+#include <optional>
+
+#include "protocol/ownership_messages/generated/lease_messages_generated.h"
+#include "state/base/types/overloaded.h"
+
+namespace peridot {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+
+struct encoded_body {
+  wire::LeaseBody Kind = wire::LeaseBody_NONE;
+  flatbuffers::Offset<void> Offset;
+};
+
+encoded_body encodeBody(FlatBufferBuilder &Builder,
+                        const lease_question &Message) {
+  return {wire::LeaseBody_LeaseQuestion,
+          wire::CreateLeaseQuestion(Builder, Message.Sequence).Union()};
+}
+
+encoded_body encodeBody(FlatBufferBuilder &Builder,
+                        const lease_answer &Message) {
+  return {wire::LeaseBody_LeaseAnswer,
+          wire::CreateLeaseAnswer(Builder, Message.Sequence, Message.Confirmed)
+              .Union()};
+}
+
+encoded_body encodeBody(FlatBufferBuilder &Builder,
+                        const lease_lapse &Message) {
+  const auto Vm = Builder.CreateString(Message.Owner.Vm.str());
+  return {wire::LeaseBody_LeaseLapse,
+          wire::CreateLeaseLapse(Builder, Vm, Message.Owner.Incarnation.Value,
+                                 Message.Final)
+              .Union()};
+}
+
+encoded_body encodeBody(FlatBufferBuilder &Builder,
+                        const lapse_request &Message) {
+  const auto Vm = Builder.CreateString(Message.Owner.Vm.str());
+  return {wire::LeaseBody_LapseRequest,
+          wire::CreateLapseRequest(Builder, Vm, Message.Owner.Incarnation.Value)
+              .Union()};
+}
+
+encoded_body encodeBody(FlatBufferBuilder &Builder,
+                        const shard_release &Message) {
+  std::vector<wire::ShardTerm> Terms;
+  Terms.reserve(Message.Terms.size());
+  for (const shard_term &Term : Message.Terms)
+    Terms.emplace_back(Term.Epoch.Value,
+                       static_cast<std::uint16_t>(Term.Shard.Value));
+  const auto Offset = Builder.CreateVectorOfStructs(Terms);
+  return {wire::LeaseBody_ShardRelease,
+          wire::CreateShardRelease(Builder, Offset).Union()};
+}
+
+vm_incarnation incarnationOf(const flatbuffers::String *Vm,
+                             std::uint64_t Number) {
+  return {vm_name(std::string_view(Vm->c_str(), Vm->size())), {Number}};
+}
+
+std::optional<shard_release> releaseFrom(const wire::ShardRelease &Wire) {
+  shard_release Release;
+  for (const wire::ShardTerm *Term : *Wire.terms()) {
+    if (Term->shard() >= ShardCount)
+      return std::nullopt;
+    Release.Terms.push_back({{Term->shard()}, {Term->epoch()}});
+  }
+  return Release;
+}
+
+std::optional<lease_message> messageFrom(const wire::LeaseMessage &Wire) {
+  switch (Wire.body_type()) {
+  case wire::LeaseBody_LeaseQuestion:
+    return lease_question{Wire.body_as_LeaseQuestion()->sequence()};
+  case wire::LeaseBody_LeaseAnswer: {
+    const auto *Answer = Wire.body_as_LeaseAnswer();
+    return lease_answer{Answer->sequence(), Answer->confirmed()};
+  }
+  case wire::LeaseBody_LeaseLapse: {
+    const auto *Lapse = Wire.body_as_LeaseLapse();
+    return lease_lapse{incarnationOf(Lapse->vm(), Lapse->incarnation()),
+                       Lapse->final()};
+  }
+  case wire::LeaseBody_LapseRequest: {
+    const auto *Request = Wire.body_as_LapseRequest();
+    return lapse_request{incarnationOf(Request->vm(), Request->incarnation())};
+  }
+  case wire::LeaseBody_ShardRelease:
+    return releaseFrom(*Wire.body_as_ShardRelease());
+  default:
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::vector<std::byte> encodeLeaseMessage(const lease_message &Message) {
+  FlatBufferBuilder Builder;
+  const encoded_body Body = std::visit(
+      [&](const auto &Each) { return encodeBody(Builder, Each); }, Message);
+  Builder.Finish(wire::CreateLeaseMessage(Builder, Body.Kind, Body.Offset));
+  const auto *Begin =
+      reinterpret_cast<const std::byte *>(Builder.GetBufferPointer());
+  return {Begin, Begin + Builder.GetSize()};
+}
+
+result<lease_message> decodeLeaseMessage(std::span<const std::byte> Bytes) {
+  const auto *Data = reinterpret_cast<const std::uint8_t *>(Bytes.data());
+  flatbuffers::Verifier Verifier(Data, Bytes.size());
+  std::optional<lease_message> Message;
+  if (wire::VerifyLeaseMessageBuffer(Verifier))
+    Message = messageFrom(*wire::GetLeaseMessage(Data));
+  if (!Message)
+    return fail(error_kind::Protocol, "a lease message is malformed",
+                "run the same version of peridotport on all VMs");
+  return *std::move(Message);
+}
+
+} // namespace peridot
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -7,6 +7,7 @@
 
 #include "transport/logging/event_log.h"
 #include "transport/node/internal/operator_pages.h"
+#include "transport/node/internal/ownership_driver.h"
 #include "transport/node/internal/rollout_driver.h"
 #include "transport/node/internal/vm_list_driver.h"
 #include "transport/operators/operator_server.h"
@@ -69,6 +70,7 @@
   control_context Context;
   rollout_driver Rollout{Context};
   vm_list_driver VmList{Context};
+  ownership_driver OwnershipDriver{Context};
   operator_pages Pages{Context};
   operator_server Operators;
 };
@@ -126,6 +128,7 @@
     Peers.start();
     Operators.start();
     VmList.start();
+    OwnershipDriver.start();
     Rollout.start();
   });
 }
--- a/src/transport/node/internal/operator_pages.cpp
+++ b/src/transport/node/internal/operator_pages.cpp
@@ -40,14 +40,27 @@
       Snapshot.Configuration
           ? Snapshot.Configuration->configuration().Revision.Value
           : 0;
-  return {.Body = json::serialize(
-              json::value{{"vm", Context.Self.Vm.str()},
-                          {"incarnation", Context.Self.Incarnation.Value},
-                          {"data_center", Context.Settings.DataCenter.str()},
-                          {"revision", Revision},
-                          {"keys_are_fresh", Snapshot.KeysAreFresh},
-                          {"leaving", Snapshot.Leaving},
-                          {"vms_listed", Snapshot.Vms.size()}})};
+  const instant Now = Context.Timers.now();
+  std::uint64_t Acting = 0;
+  std::int64_t ActingMs = 0;
+  for (const auto &[Shard, Until] : Context.Ownership.ActingUntil) {
+    if (Until <= Now)
+      continue;
+    ++Acting;
+    ActingMs =
+        std::chrono::ceil<std::chrono::milliseconds>(Until - Now).count();
+  }
+  return {.Body = json::serialize(json::value{
+              {"vm", Context.Self.Vm.str()},
+              {"incarnation", Context.Self.Incarnation.Value},
+              {"data_center", Context.Settings.DataCenter.str()},
+              {"revision", Revision},
+              {"keys_are_fresh", Snapshot.KeysAreFresh},
+              {"leaving", Snapshot.Leaving},
+              {"vms_listed", Snapshot.Vms.size()},
+              {"shards_owned", Context.Ownership.ActingUntil.size()},
+              {"shards_acting", Acting},
+              {"acting_for_ms", ActingMs}})};
 }
 
 } // namespace peridot
--- /dev/null
+++ b/src/transport/node/internal/ownership_driver.cpp
@@ -0,0 +1,183 @@
+#include "transport/node/internal/ownership_driver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "protocol/ownership_messages/lease_codec.h"
+#include "protocol/ownership_messages/shard_map_document.h"
+#include "transport/logging/event_log.h"
+
+namespace peridot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{250};
+/// The platform counts each waiting watch as one call.
+constexpr std::chrono::milliseconds WatchWait{20'000};
+/// Pause between two watches: several changes arrive as one.
+constexpr std::chrono::milliseconds WatchPause{500};
+constexpr std::chrono::milliseconds RetryDelay{1'000};
+
+std::string textOf(const vm_incarnation &Id) {
+  if (Id.Vm.empty())
+    return "nobody";
+  return Id.Vm.str() + "/" + std::to_string(Id.Incarnation.Value);
+}
+
+} // namespace
+
+ownership_driver::ownership_driver(control_context &Context)
+    : Context(Context),
+      Machine({.Self = Context.Self, .Seed = Context.Self.Incarnation.Value}) {}
+
+void ownership_driver::start() {
+  Context.Peers.subscribe(frame_subject::Ownership,
+                          [this](const peer_hello &Sender, bytes_view Body) {
+                            receive(Sender, Body);
+                          });
+  Tick = Context.Timers.every(TickPeriod, [this](instant) { tick(); });
+  asio::co_spawn(Context.Loop, watchMap(), asio::detached);
+}
+
+void ownership_driver::tick() {
+  if (!Context.Members.Members.empty())
+    dispatch(fleet_listed{Context.Members.Members});
+  if (Context.Snapshots.current().Leaving && !LeaveIsKnown) {
+    LeaveIsKnown = true;
+    dispatch(leave_started{});
+  }
+  dispatch(lease_tick{});
+}
+
+void ownership_driver::receive(const peer_hello &Sender, bytes_view Body) {
+  auto Message = decodeLeaseMessage(Body);
+  if (!Message) {
+    Context.Metrics.counterOf("peridot_peer_refused_total").add();
+    logError("lease-message-refused", Message.error());
+    return;
+  }
+  dispatch(lease_message_received{Sender.Sender, std::move(*Message)});
+}
+
+void ownership_driver::dispatch(const ownership_event &Event) {
+  const auto Effects = Machine.handle(Event, Context.Timers.now());
+  refreshView();
+  for (const ownership_effect &Effect : Effects)
+    std::visit([this](const auto &E) { perform(E); }, Effect);
+}
+
+void ownership_driver::refreshView() {
+  if (ViewVersion != Machine.mapVersion()) {
+    ViewVersion = Machine.mapVersion();
+    Context.Ownership.Map = Machine.map();
+  }
+  Context.Ownership.ActingUntil = Machine.actingUntil(Context.Timers.now());
+}
+
+void ownership_driver::perform(const send_lease_message &Effect) {
+  Context.Peers.send(Effect.Peer, frame_subject::Ownership,
+                     encodeLeaseMessage(Effect.Message));
+}
+
+void ownership_driver::perform(const read_shard_map &) {
+  if (ReadIsRunning)
+    return;
+  ReadIsRunning = true;
+  asio::co_spawn(Context.Loop, readMap(), asio::detached);
+}
+
+void ownership_driver::perform(const write_shard_map &Effect) {
+  asio::co_spawn(Context.Loop,
+                 writeMap(Effect.Expected, encodeShardMap(Effect.Map)),
+                 asio::detached);
+}
+
+void ownership_driver::perform(const shard_claimed &Effect) {
+  Context.Decisions.record(
+      {.Kind = decision_kind::ShardClaimed,
+       .Subject = subject_kind::Shard,
+       .Name = std::to_string(Effect.Term.Shard.Value),
+       .Cause = "owned by " + textOf(Effect.Before) + " before",
+       .Evidence = "epoch " + std::to_string(Effect.Term.Epoch.Value) +
+                   ", map version " + std::to_string(Machine.mapVersion()),
+       .Rule = "the earlier owner cannot act any more and the conditional "
+               "update took effect"});
+}
+
+void ownership_driver::perform(const shard_released &Effect) {
+  Context.Decisions.record(
+      {.Kind = decision_kind::ShardReleased,
+       .Subject = subject_kind::Shard,
+       .Name = std::to_string(Effect.Term.Shard.Value),
+       .Cause = LeaveIsKnown ? "this VM is leaving"
+                             : "this VM owns more than its part",
+       .Evidence = "epoch " + std::to_string(Effect.Term.Epoch.Value) +
+                   ", successor " + Effect.Successor.str(),
+       .Rule = "an owner stops acting before its successor claims"});
+}
+
+void ownership_driver::perform(const lease_lost &Effect) {
+  Context.Decisions.record(
+      {.Kind = decision_kind::LeaseLost,
+       .Subject = subject_kind::Vm,
+       .Name = Context.Self.Vm.str(),
+       .Cause = "too few witnesses confirmed the lease in time",
+       .Evidence = std::to_string(Effect.Shards) + " shards",
+       .Rule = "an owner acts only while a majority of its witnesses "
+               "confirmed within the lease's length"});
+}
+
+task<void> ownership_driver::watchMap() {
+  asio::steady_timer Delay(Context.Loop);
+  while (true) {
+    const auto Watched = co_await Context.Platform.watch(
+        std::string(ShardsObject), Machine.mapVersion(), WatchWait);
+    if (!Watched)
+      logError("shard-map-read-failed", Watched.error());
+    else if (*Watched)
+      mapArrived(*Watched);
+    Delay.expires_after(Watched ? WatchPause : RetryDelay);
+    co_await Delay.async_wait(UseTaskTuple);
+  }
+}
+
+task<void> ownership_driver::readMap() {
+  const auto Stored = co_await Context.Platform.read(std::string(ShardsObject));
+  ReadIsRunning = false;
+  if (Stored)
+    mapArrived(*Stored);
+}
+
+void ownership_driver::mapArrived(const std::optional<stored_object> &Stored) {
+  if (!Stored) {
+    dispatch(shard_map_read{});
+    return;
+  }
+  auto Map = decodeShardMap(Stored->Body);
+  if (!Map) {
+    logError("shard-map-refused", Map.error());
+    return;
+  }
+  dispatch(shard_map_read{Stored->Version, std::move(*Map)});
+}
+
+task<void> ownership_driver::writeMap(std::uint64_t Expected,
+                                      std::string Body) {
+  const auto Written = co_await Context.Platform.write(
+      std::string(ShardsObject), Expected, std::move(Body));
+  shard_map_write_ended Ended;
+  if (Written) {
+    Ended = {write_outcome::Written, *Written};
+  } else {
+    if (Written.error().Kind == error_kind::Conflict)
+      Ended.Outcome = write_outcome::Conflict;
+    else
+      logError("shard-map-write-failed", Written.error());
+  }
+  dispatch(Ended);
+}
+
+} // namespace peridot
