--- a/src/protocol/ownership_messages/internal/lease_codec.cpp
+++ b/src/protocol/ownership_messages/internal/lease_codec.cpp
@@ -2,7 +2,8 @@
 
 #include <optional>
 
-#include "protocol/ownership_messages/generated/lease_messages_generated.h"
+#include <lease_messages_generated.h>
+
 #include "state/base/types/overloaded.h"
 
 namespace peridot {
