Correct the platform's list by heartbeats

Cause: the list lags; leaving VMs must vanish from address answers at once, and one-way cuts must be seen without trusting a single observer.

A machine over typed events sends heartbeats over the sparse graph. An observer's statement about a silent neighbour travels with its age; two observers must agree before a VM is suspected, and silence alone never makes one gone. Word of a leaving VM travels at once.

The list is read every 100 ms per listed VM, at least every second: at 640 VMs each second would be 640 reads/s of the whole list.

--- /dev/null
+++ b/src/protocol/membership_messages/heartbeat_codec.h
@@ -0,0 +1,19 @@
+/// \file
+/// Heartbeats as FlatBuffers.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+#include "coordination/membership/types/heartbeat.h"
+#include "state/base/types/error.h"
+
+namespace peridot {
+
+std::vector<std::byte> encodeHeartbeat(const heartbeat &Heartbeat);
+
+/// Refuses bytes that are no whole and valid heartbeat.
+result<heartbeat> decodeHeartbeat(std::span<const std::byte> Bytes);
+
+} // namespace peridot
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/membership_driver.h"
 #include "transport/node/internal/operator_pages.h"
 #include "transport/node/internal/ownership_driver.h"
 #include "transport/node/internal/rollout_driver.h"
@@ -69,7 +70,8 @@
   ownership_view Ownership;
   control_context Context;
   rollout_driver Rollout{Context};
-  vm_list_driver VmList{Context};
+  membership_driver Membership{Context};
+  vm_list_driver VmList{Context, Membership};
   ownership_driver OwnershipDriver{Context};
   operator_pages Pages{Context};
   operator_server Operators;
@@ -127,6 +129,7 @@
   asio::post(Control.context(), [this] {
     Peers.start();
     Operators.start();
+    Membership.start();
     VmList.start();
     OwnershipDriver.start();
     Rollout.start();
--- a/src/transport/node/internal/operator_pages.cpp
+++ b/src/transport/node/internal/operator_pages.cpp
@@ -1,5 +1,7 @@
 #include "transport/node/internal/operator_pages.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "protocol/http/metrics_text.h"
@@ -41,6 +43,10 @@
           ? Snapshot.Configuration->configuration().Revision.Value
           : 0;
   const instant Now = Context.Timers.now();
+  const auto Suspected =
+      std::ranges::count_if(Context.Members.Members, [](const member &Member) {
+        return Member.Suspected;
+      });
   std::uint64_t Acting = 0;
   std::int64_t ActingMs = 0;
   for (const auto &[Shard, Until] : Context.Ownership.ActingUntil) {
@@ -58,6 +64,8 @@
               {"keys_are_fresh", Snapshot.KeysAreFresh},
               {"leaving", Snapshot.Leaving},
               {"vms_listed", Snapshot.Vms.size()},
+              {"vms_suspected", Suspected},
+              {"silent_links", Context.Members.SilentLinks.size()},
               {"shards_owned", Context.Ownership.ActingUntil.size()},
               {"shards_acting", Acting},
               {"acting_for_ms", ActingMs}})};
--- a/src/transport/node/internal/vm_list_driver.cpp
+++ b/src/transport/node/internal/vm_list_driver.cpp
@@ -1,5 +1,7 @@
 #include "transport/node/internal/vm_list_driver.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,7 +14,14 @@
 
 namespace {
 
-constexpr std::chrono::seconds PollPeriod{1};
+/// The list grows with the fleet, so it is read less often in a large one.
+constexpr std::chrono::milliseconds PollPeriodPerVm{100};
+constexpr std::chrono::milliseconds LeastPollPeriod{1'000};
+
+std::chrono::milliseconds pollPeriod(std::size_t VmCount) {
+  return std::max(LeastPollPeriod,
+                  PollPeriodPerVm * static_cast<std::int64_t>(VmCount));
+}
 
 } // namespace
 
@@ -28,7 +37,7 @@
       logError("vm-list-read-failed", Listed.error());
     else if (*Listed != Vms)
       apply(std::move(*Listed));
-    Delay.expires_after(PollPeriod);
+    Delay.expires_after(pollPeriod(Vms.size()));
     co_await Delay.async_wait(UseTaskTuple);
   }
 }
@@ -36,27 +45,14 @@
 void vm_list_driver::apply(std::vector<listed_vm> Listed) {
   Vms = std::move(Listed);
   std::vector<peer_address> Peers;
-  std::vector<vm_address> Callable;
-  std::vector<member> Members;
   for (const listed_vm &Vm : Vms) {
-    Members.push_back({.Vm = Vm.Name,
-                       .DataCenter = Vm.DataCenter,
-                       .Leaving = Vm.State == vm_list_state::Leaving});
     boost::system::error_code Error;
     const auto Address = asio::ip::make_address(Vm.Address, Error);
-    if (Error)
-      continue;
-    Peers.push_back({Vm.Name, {Address, Vm.PeerPort}});
-    if (Vm.State == vm_list_state::Live)
-      Callable.push_back({.Vm = Vm.Name,
-                          .DataCenter = Vm.DataCenter,
-                          .Address = Vm.Address,
-                          .Port = Vm.CallerPort});
+    if (!Error)
+      Peers.push_back({Vm.Name, {Address, Vm.PeerPort}});
   }
   Context.Peers.setPeers(Peers);
-  Context.Members.Members = std::move(Members);
-  Context.Snapshots.update(
-      [&](routing_snapshot &Snapshot) { Snapshot.Vms = std::move(Callable); });
+  Membership.listed(Vms);
 }
 
 } // namespace peridot
--- a/src/transport/node/internal/vm_list_driver.h
+++ b/src/transport/node/internal/vm_list_driver.h
@@ -1,15 +1,16 @@
 /// \file
-/// Reads the platform's list of VMs and tells links and snapshot about it.
+/// Reads the platform's list of VMs and tells links and membership about it.
 #pragma once
 
-#include "transport/node/control_context.h"
+#include "transport/node/internal/membership_driver.h"
 
 namespace peridot {
 
 /// Runs on the control thread.
 class vm_list_driver {
 public:
-  explicit vm_list_driver(control_context &Context) : Context(Context) {}
+  vm_list_driver(control_context &Context, membership_driver &Membership)
+      : Context(Context), Membership(Membership) {}
 
   void start();
   const std::vector<listed_vm> &vms() const { return Vms; }
@@ -19,6 +20,7 @@
   void apply(std::vector<listed_vm> Listed);
 
   control_context &Context;
+  membership_driver &Membership;
   std::vector<listed_vm> Vms;
 };
 
