--- a/tests/support/fleet_fixture.cpp
+++ b/tests/support/fleet_fixture.cpp
@@ -32,6 +32,14 @@
   return httpCall(Port, {.Path = "/admin/executions"}).Body;
 }
 
+void running_proxy::setFaults(const std::string &Query) const {
+  httpCall(AdminPort, {.Path = "/admin/faults?" + Query});
+}
+
+void running_proxy::forgetConnections() const {
+  httpCall(AdminPort, {.Path = "/admin/forget"});
+}
+
 fleet_fixture::fleet_fixture() : Folder(makeFolder()) {
   std::filesystem::create_directory(Folder / "services");
   std::ofstream(Folder / "fleet.key") << FleetKey << '\n';
@@ -87,6 +95,27 @@
   return *Nodes.back();
 }
 
+running_proxy &fleet_fixture::addProxy(std::uint16_t TargetPort,
+                                       bool PeerLinks) {
+  auto Proxy = std::make_unique<running_proxy>();
+  Proxy->Process = std::make_unique<process>(
+      "fault_proxy",
+      std::vector<std::string>{"--target_port=" + std::to_string(TargetPort),
+                               PeerLinks ? "--peer_links" : "--nopeer_links"});
+  Proxy->Port = static_cast<std::uint16_t>(
+      jsonInteger(Proxy->Process->awaitLine("proxying"), "port"));
+  Proxy->AdminPort = static_cast<std::uint16_t>(
+      jsonInteger(Proxy->Process->awaitLine("listening"), "port"));
+  Proxies.push_back(std::move(Proxy));
+  return *Proxies.back();
+}
+
+running_proxy &fleet_fixture::addPeerProxy(running_node &Node) {
+  running_proxy &Proxy = addProxy(Node.PeerPort, true);
+  Node.AdvertisedPeerPort = Proxy.Port;
+  return Proxy;
+}
+
 void fleet_fixture::listNodes() {
   boost::json::array Rows;
   for (const auto &Node : Nodes)
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -35,6 +35,18 @@
   std::string executions() const;
 };
 
+/// A fault proxy in front of one port.
+struct running_proxy {
+  std::unique_ptr<process> Process;
+  std::uint16_t Port = 0;
+  std::uint16_t AdminPort = 0;
+
+  /// Sets faults, for example `label=vm-1&forward_cut=1`; see fault_rules.h.
+  void setFaults(const std::string &Query) const;
+  /// Existing connections lose their state; new ones work.
+  void forgetConnections() const;
+};
+
 /// Starts a platform stand-in; nodes and targets are added by tests.
 class fleet_fixture {
 public:
@@ -45,6 +57,11 @@
                             const std::string &DataCenter);
   running_node &addNode(const std::string &Name, const std::string &DataCenter,
                         const std::vector<std::string> &ExtraFlags = {});
+  /// Puts a fault proxy in front of a port.
+  running_proxy &addProxy(std::uint16_t TargetPort, bool PeerLinks = false);
+  /// Puts a fault proxy in front of a node's peer port; listNodes() then tells
+  /// the other nodes of the proxy's port.
+  running_proxy &addPeerProxy(running_node &Node);
   /// Tells the platform which nodes exist.
   void listNodes();
   void platformFaults(const std::string &Query) const;
@@ -67,6 +84,7 @@
   std::uint16_t PlatformPort = 0;
   std::vector<std::unique_ptr<running_node>> Nodes;
   std::vector<std::unique_ptr<running_target>> Targets;
+  std::vector<std::unique_ptr<running_proxy>> Proxies;
 
 private:
   std::filesystem::path Folder;
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -43,6 +43,10 @@
     : Impl(std::make_unique<impl>()) {
   boost::system::error_code Error;
   Impl->Socket.connect({asio::ip::make_address("127.0.0.1"), Port}, Error);
+  // Keeps a defect from hanging the whole run.
+  const timeval Limit{.tv_sec = 60, .tv_usec = 0};
+  setsockopt(Impl->Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+             sizeof(Limit));
 }
 
 http_connection::~http_connection() = default;
