Check request heads strictly and relay with known outcomes

Cause: the caller's side forwarded requests with both length fields, two lengths or 'chunked, identity', read no chunk strictly, did not apply max_body_bytes, kept no body for a second attempt, and did not notice a caller that left or a target that answered early.

The head is judged as raw bytes by a pure function before the parser sees it, since the parser forgives what targets may not. Ruled out: judging parsed fields (folded lines and bare line breaks are gone by then).

The start of a body (32 KB) is read before a target is chosen and kept, so that a shed or unsent request can go to another target. The rest is streamed; a watch cancels it when the target answers or the deadline passes. Targets get Peridot-Account and Peridot-Deadline-Ms; shed, draining and load are read. Connections above the limit get a 503.

--- a/src/coordination/routing/internal/refusal.cpp
+++ b/src/coordination/routing/internal/refusal.cpp
@@ -36,6 +36,8 @@
     return "target-failed";
   case refusal_kind::DeadlineExceeded:
     return "deadline-exceeded";
+  case refusal_kind::TooManyConnections:
+    return "too-many-connections";
   }
   return "internal";
 }
@@ -74,6 +76,8 @@
     return "try again later";
   case refusal_kind::TargetShed:
     return "try again after the given time";
+  case refusal_kind::TooManyConnections:
+    return "close idle connections or use another VM";
   case refusal_kind::TargetFailed:
   case refusal_kind::DeadlineExceeded:
     return "check with the service whether the request ran";
--- a/src/coordination/routing/types/refusal.h
+++ b/src/coordination/routing/types/refusal.h
@@ -26,6 +26,7 @@
   TargetShed,
   TargetFailed,
   DeadlineExceeded,
+  TooManyConnections,
 };
 
 /// What a caller may conclude about its request.
--- a/src/protocol/http/internal/header_rules.cpp
+++ b/src/protocol/http/internal/header_rules.cpp
@@ -1,5 +1,6 @@
 #include "protocol/http/header_rules.h"
 
+#include <charconv>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,19 @@
          boost::beast::iequals(Name, "Content-Length");
 }
 
+boost::beast::string_view toBeast(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+/// Load from 0 to 1, or -1 when \p Text is none.
+double parseLoad(boost::beast::string_view Text) {
+  double Load = -1;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Load);
+  const bool Valid = Parsed.ec == std::errc{} && Parsed.ptr == End;
+  return Valid && Load >= 0 && Load <= 1 ? Load : -1;
+}
+
 } // namespace
 
 void removeHopByHopFields(http::fields &Fields) {
@@ -40,8 +54,32 @@
   Fields.erase(http::field::proxy_authorization);
 }
 
-void removeSecrets(http::fields &Fields) {
-  Fields.erase(boost::beast::string_view(KeyField.data(), KeyField.size()));
+void removeSecrets(http::fields &Fields) { Fields.erase(toBeast(KeyField)); }
+
+void prepareForTarget(http::fields &Fields, const forwarded_context &Context) {
+  removeHopByHopFields(Fields);
+  removeSecrets(Fields);
+  Fields.erase(http::field::expect);
+  Fields.erase(toBeast(AccountField));
+  if (!Context.Account.empty())
+    Fields.set(toBeast(AccountField), toBeast(Context.Account));
+  Fields.set(toBeast(DeadlineField), std::to_string(Context.TimeLeft.count()));
+}
+
+void prepareForCaller(http::fields &Fields) {
+  removeHopByHopFields(Fields);
+  Fields.erase(toBeast(TargetStateField));
+  Fields.erase(toBeast(TargetLoadField));
+  Fields.erase(toBeast(OutcomeField));
+}
+
+target_report readTargetReport(const http::fields &Fields, unsigned Status) {
+  constexpr unsigned ServiceUnavailable = 503;
+  const auto State = Fields[toBeast(TargetStateField)];
+  return {.Shed = Status == ServiceUnavailable &&
+                  boost::beast::iequals(State, "shed"),
+          .Draining = boost::beast::iequals(State, "draining"),
+          .Load = parseLoad(Fields[toBeast(TargetLoadField)])};
 }
 
 } // namespace peridot
--- a/src/protocol/http/internal/problem_details.cpp
+++ b/src/protocol/http/internal/problem_details.cpp
@@ -41,6 +41,7 @@
   case refusal_kind::QueueFull:
   case refusal_kind::NoHealthyTarget:
   case refusal_kind::TargetShed:
+  case refusal_kind::TooManyConnections:
     return 503;
   }
   return 500;
--- a/src/protocol/http/tests/problem_details_test.cpp
+++ b/src/protocol/http/tests/problem_details_test.cpp
@@ -29,3 +29,36 @@
   CHECK(Fields.count("X-Kept") == 1);
   CHECK(Fields.count("Content-Length") == 1);
 }
+
+TEST_CASE("prepareForTarget_forgedFields_replaced") {
+  boost::beast::http::fields Fields;
+  Fields.set("Peridot-Account", "forged");
+  Fields.insert("Peridot-Account", "again");
+  Fields.set("Peridot-Deadline-Ms", "1");
+  Fields.set("Expect", "100-continue");
+  prepareForTarget(Fields, {.Account = "keepers",
+                            .TimeLeft = std::chrono::milliseconds(250)});
+  CHECK(Fields.count("Peridot-Account") == 1);
+  CHECK(Fields["Peridot-Account"] == "keepers");
+  CHECK(Fields["Peridot-Deadline-Ms"] == "250");
+  CHECK(Fields.count("Expect") == 0);
+  prepareForTarget(Fields, {});
+  CHECK(Fields.count("Peridot-Account") == 0);
+}
+
+TEST_CASE("readTargetReport_fields_readOrIgnored") {
+  boost::beast::http::fields Fields;
+  Fields.set("Peridot-Target-State", "Shed");
+  Fields.set("Peridot-Target-Load", "0.25");
+  CHECK(readTargetReport(Fields, 503).Shed);
+  CHECK(!readTargetReport(Fields, 200).Shed);
+  CHECK(readTargetReport(Fields, 200).Load == 0.25);
+  Fields.set("Peridot-Target-State", "draining");
+  CHECK(readTargetReport(Fields, 200).Draining);
+  for (const char *Load : {"", "1.5", "-0.1", "0.5x", "nan"}) {
+    Fields.set("Peridot-Target-Load", Load);
+    CHECK(readTargetReport(Fields, 200).Load == -1);
+  }
+  prepareForCaller(Fields);
+  CHECK(Fields.count("Peridot-Target-State") == 0);
+}
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include "protocol/http/problem_details.h"
+#include "protocol/http/request_framing.h"
 #include "state/base/types/overloaded.h"
 #include "transport/callers/internal/request_relay.h"
 
@@ -23,19 +24,23 @@
   return {Text.data(), Text.size()};
 }
 
-refusal headRefusal(const boost::system::error_code &Error) {
-  if (Error == http::error::header_limit)
-    return {.Kind = refusal_kind::HeadTooLarge,
-            .Detail = "the request head is larger than the limit"};
-  return {.Kind = refusal_kind::MalformedRequest, .Detail = Error.message()};
+/// Bytes that one read of a head asks for.
+constexpr std::size_t HeadReadBytes = 4U << 10U;
+/// Longest wait for the caller to take the last answer.
+constexpr std::chrono::seconds CloseTimeout{2};
+
+refusal malformed(std::string_view Detail) {
+  return {.Kind = refusal_kind::MalformedRequest,
+          .Detail = std::string(Detail)};
+}
+
+refusal headTooLarge() {
+  return {.Kind = refusal_kind::HeadTooLarge,
+          .Detail = "the request head is larger than the limit"};
 }
 
-/// True for errors that the caller's bytes caused, which deserve an answer.
-bool isParseError(const boost::system::error_code &Error) {
-  return Error.category() ==
-             http::make_error_code(http::error::bad_field).category() &&
-         Error != http::error::end_of_stream &&
-         Error != http::error::partial_message;
+refusal bareLineBreak() {
+  return malformed(detailOf(head_fault::BareLineBreak));
 }
 
 } // namespace
@@ -50,29 +55,84 @@
   Worker.connectionClosed();
 }
 
+task<void> caller_session::turnAway(traffic_worker &Worker, tcp_stream Stream) {
+  caller_session Session(Worker, std::move(Stream));
+  const refusal Refusal{.Kind = refusal_kind::TooManyConnections,
+                        .Detail = "this VM has no room for a connection"};
+  Session.Parser.emplace();
+  co_await Session.refuse(Refusal);
+  co_await Session.closeGently();
+}
+
 task<void> caller_session::run() {
   bool Open = true;
-  while (Open && !Worker.shuttingDown()) {
+  while (Open) {
     Open = co_await readHead();
     if (Open)
       Open = co_await serveRequest();
   }
-  boost::system::error_code Ignored;
-  Stream.socket().shutdown(tcp_socket::shutdown_send, Ignored);
+  co_await closeGently();
+}
+
+task<void> caller_session::closeGently() {
+  boost::system::error_code Error;
+  Stream.socket().shutdown(tcp_socket::shutdown_send, Error);
+  Stream.expires_after(CloseTimeout);
+  while (!Error) {
+    Buffer.clear();
+    std::tie(Error, std::ignore) = co_await Stream.async_read_some(
+        Buffer.prepare(HeadReadBytes), UseTaskTuple);
+  }
 }
 
 task<bool> caller_session::readHead() {
+  const caller_limits &Limits = Worker.options().Limits;
   Parser.emplace();
+  if (Buffer.size() == 0)
+    Stream.expires_after(Limits.IdleTimeout);
+  else
+    Stream.expires_after(Limits.HeadTimeout);
+  while (true) {
+    const auto Bytes = Buffer.cdata();
+    const std::string_view Received(static_cast<const char *>(Bytes.data()),
+                                    Bytes.size());
+    const auto Size = findHeadEnd(Received);
+    if (Size.value_or(Received.size()) > Limits.MaxHeadBytes) {
+      const refusal Refusal = headTooLarge();
+      co_return co_await refuse(Refusal);
+    }
+    if (Size)
+      co_return co_await acceptHead(*Size);
+    if (hasBareLineBreak(Received)) {
+      const refusal Refusal = bareLineBreak();
+      co_return co_await refuse(Refusal);
+    }
+    auto [Error, Count] = co_await Stream.async_read_some(
+        Buffer.prepare(HeadReadBytes), UseTaskTuple);
+    if (Error)
+      co_return false;
+    if (Buffer.size() == 0)
+      Stream.expires_after(Limits.HeadTimeout);
+    Buffer.commit(Count);
+  }
+}
+
+task<bool> caller_session::acceptHead(std::size_t Size) {
+  const std::string_view Head(static_cast<const char *>(Buffer.cdata().data()),
+                              Size);
+  if (const auto Fault = checkHead(Head)) {
+    const refusal Refusal = malformed(detailOf(*Fault));
+    co_return co_await refuse(Refusal);
+  }
   Parser->header_limit(Worker.options().Limits.MaxHeadBytes);
   Parser->body_limit(boost::none);
-  Stream.expires_after(Worker.options().Limits.IdleTimeout);
-  auto [Error, Size] =
-      co_await http::async_read_header(Stream, Buffer, *Parser, UseTaskTuple);
-  if (!Error)
+  boost::system::error_code Error;
+  const std::size_t Parsed = Parser->put(Buffer.cdata(), Error);
+  Buffer.consume(Parsed);
+  if (!Error && Parser->is_header_done())
     co_return true;
-  if (isParseError(Error))
-    co_await refuse(headRefusal(Error));
-  co_return false;
+  const refusal Refusal = malformed(Error.message());
+  co_return co_await refuse(Refusal);
 }
 
 task<bool> caller_session::serveRequest() {
@@ -114,8 +174,9 @@
       co_return co_await refuse(Refusal);
     }
   }
-  request_relay Relay(Worker, Stream, Buffer, *Parser);
+  request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
   const relay_result Result = co_await Relay.run(Admitted, *Snapshot);
+  InStep = Result.KeepCaller;
   if (Result.Refusal)
     co_return co_await refuse(*Result.Refusal);
   co_return Result.KeepCaller;
@@ -134,8 +195,9 @@
                                     std::string Body, const refusal *Refusal) {
   // A request body that was not read stands between this answer and the next
   // request, so the connection ends unless there is none.
-  const bool Keep = Parser->is_header_done() && Parser->is_done() &&
-                    Parser->get().keep_alive() && !Worker.shuttingDown();
+  const bool Keep = InStep && Parser->is_header_done() && Parser->is_done() &&
+                    Parser->get().keep_alive() && !Worker.shuttingDown() &&
+                    !Worker.snapshot()->Leaving;
   http::response<http::string_body> Response(static_cast<http::status>(Status),
                                              11, std::move(Body));
   Response.set(http::field::content_type, ContentType);
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "coordination/routing/admission.h"
+#include "transport/callers/internal/relay_watch.h"
 #include "transport/callers/traffic_worker.h"
 
 namespace peridot {
@@ -20,14 +21,22 @@
 public:
   /// Serves the connection until it closes.
   static task<void> serve(traffic_worker &Worker, tcp_stream Stream);
+  /// Answers that no further connection is taken, then closes it.
+  static task<void> turnAway(traffic_worker &Worker, tcp_stream Stream);
 
 private:
   caller_session(traffic_worker &Worker, tcp_stream Stream)
-      : Worker(Worker), Stream(std::move(Stream)) {}
+      : Worker(Worker), Stream(std::move(Stream)),
+        Watch(std::make_shared<relay_watch>(Worker.loop(), this->Stream)) {}
 
   task<void> run();
   /// Reads one head; false when the connection is at its end.
   task<bool> readHead();
+  /// Checks and parses the head in the first \p Size bytes of the buffer.
+  task<bool> acceptHead(std::size_t Size);
+  /// Sends the end of the connection and drops what still arrives, so that the
+  /// caller can read the last answer.
+  task<void> closeGently();
   /// Serves the request whose head was read; false to close the connection.
   task<bool> serveRequest();
   task<bool> answerAddresses();
@@ -40,6 +49,9 @@
   tcp_stream Stream;
   boost::beast::flat_buffer Buffer;
   std::optional<caller_request_parser> Parser;
+  std::shared_ptr<relay_watch> Watch;
+  /// False once the end of the current request cannot be found any more.
+  bool InStep = true;
 };
 
 } // namespace peridot
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
-#include "protocol/http/header_rules.h"
-
 namespace peridot {
 
 namespace beast = boost::beast;
@@ -14,56 +13,51 @@
 
 namespace {
 
-/// Bytes of a body that are in flight between caller and target.
-constexpr std::size_t RelayBufferBytes = 32U << 10U;
 /// Attempts at different targets for one request.
 constexpr unsigned MaxAttempts = 3;
 /// Largest head of a target's answer.
 constexpr std::uint32_t MaxAnswerHead = 64U << 10U;
+/// First room for a target's answer.
+constexpr std::size_t AnswerBufferBytes = 4U << 10U;
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
-using relay_buffer = std::array<char, RelayBufferBytes>;
+/// True for errors that the bytes of the other end caused.
+bool isParseError(const boost::system::error_code &Error) {
+  return Error.category() ==
+             http::make_error_code(http::error::bad_field).category() &&
+         Error != http::error::end_of_stream &&
+         Error != http::error::partial_message;
+}
 
-/// Copies a body from \p Source, fed by \p From, through \p Sink, which
-/// serializes the message with \p SinkBody to \p To, one buffer at a time.
-template <typename Parser, typename Serializer>
-task<boost::system::error_code>
-relayBody(tcp_stream &From, beast::flat_buffer &Buffer, Parser &Source,
-          Serializer &Sink, http::buffer_body::value_type &SinkBody,
-          tcp_stream &To) {
-  auto Space = std::make_unique<relay_buffer>();
-  do {
-    if (!Source.is_done()) {
-      Source.get().body().data = Space->data();
-      Source.get().body().size = Space->size();
-      auto [ReadError, Read] =
-          co_await http::async_read(From, Buffer, Source, UseTaskTuple);
-      if (ReadError && ReadError != http::error::need_buffer)
-        co_return ReadError;
-      SinkBody.size = Space->size() - Source.get().body().size;
-      SinkBody.data = Space->data();
-      SinkBody.more = !Source.is_done();
-    } else {
-      SinkBody.data = nullptr;
-      SinkBody.size = 0;
-      SinkBody.more = false;
-    }
-    auto [WriteError, Written] =
-        co_await http::async_write(To, Sink, UseTaskTuple);
-    if (WriteError && WriteError != http::error::need_buffer)
-      co_return WriteError;
-  } while (!Source.is_done() || !Sink.is_done());
-  co_return boost::system::error_code{};
+bool isTimeout(const boost::system::error_code &Error) {
+  return Error == beast::error::timeout || Error == asio::error::timed_out;
 }
 
-refusal attemptRefusal(attempt_progress Progress, request_outcome Outcome,
-                       std::string Detail) {
-  refusal_kind Kind = refusal_kind::TargetFailed;
-  if (Progress == attempt_progress::NotConnected ||
-      Progress == attempt_progress::NothingSent)
-    Kind = refusal_kind::TargetUnreachable;
-  if (Progress == attempt_progress::Shed)
-    Kind = refusal_kind::TargetShed;
-  return {.Kind = Kind, .Outcome = Outcome, .Detail = std::move(Detail)};
+refusal_kind kindOf(attempt_progress Progress) {
+  switch (Progress) {
+  case attempt_progress::NotConnected:
+  case attempt_progress::NothingSent:
+    return refusal_kind::TargetUnreachable;
+  case attempt_progress::Shed:
+    return refusal_kind::TargetShed;
+  case attempt_progress::PartlySent:
+  case attempt_progress::WhollySent:
+  case attempt_progress::AnswerStarted:
+    return refusal_kind::TargetFailed;
+  }
+  return refusal_kind::TargetFailed;
+}
+
+refusal bodyTooLarge(const route &Route) {
+  return {.Kind = refusal_kind::BodyTooLarge,
+          .Detail = "the body is larger than " +
+                    std::to_string(Route.MaxBodyBytes) + " bytes"};
+}
+
+bool announcesTooMuch(const caller_request_parser &Request,
+                      const route &Route) {
+  const auto Length = Request.content_length();
+  return Length && *Length > Route.MaxBodyBytes;
 }
 
 } // namespace
@@ -71,33 +65,54 @@
 task<relay_result> request_relay::run(const admitted_request &Admitted,
                                       const routing_snapshot &Snapshot) {
   Deadline = std::chrono::steady_clock::now() + Admitted.Route->Deadline;
-  KeepCaller = Request.get().keep_alive() && !Worker.shuttingDown();
-  std::optional<refusal> LastRefusal;
+  std::optional<refusal> LastRefusal = co_await gatherBody(*Admitted.Route);
+  if (LastRefusal || CallerLeft)
+    co_return relay_result{.Refusal = std::move(LastRefusal),
+                           .CallerLeft = CallerLeft};
   for (unsigned Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
     const target *Target = choose(Admitted, Snapshot);
     if (!Target)
       break;
-    Tried.push_back(Target->Name);
     const instant StartedAt = bootNow();
-    const attempt_result Result = co_await attempt(*Target, *Admitted.Route);
+    const attempt_result Result = co_await attempt(*Target, Admitted);
     observe(*Admitted.Service, *Target, Result, StartedAt);
-    if (Result.Whole)
-      co_return relay_result{.KeepCaller = KeepCaller};
-    if (CallerGotBytes)
-      co_return relay_result{.KeepCaller = false};
-    const attempt_verdict Verdict = judgeAttempt(
-        Result.Progress, Admitted.Route->Repeatable, !BodyStarted, false);
-    LastRefusal =
-        attemptRefusal(Result.Progress, Verdict.Outcome, Result.Detail);
-    if (!Verdict.MayRetry || std::chrono::steady_clock::now() >= Deadline)
+    if (Result.Whole || CallerGotBytes || Result.CallerLeft)
+      co_return relay_result{.KeepCaller = Result.Whole && mayKeepCaller(),
+                             .Status = Result.Status,
+                             .CallerLeft = Result.CallerLeft};
+    const attempt_verdict Verdict =
+        judgeAttempt(Result.Progress, Admitted.Route->Repeatable,
+                     !BodyConsumed && !Result.Cause, false);
+    const refusal_kind Kind =
+        isLate() ? refusal_kind::DeadlineExceeded : kindOf(Result.Progress);
+    LastRefusal = refusal{.Kind = Result.Cause.value_or(Kind),
+                          .Outcome = Verdict.Outcome,
+                          .Detail = Result.Detail};
+    if (!Verdict.MayRetry || isLate())
       break;
+    NeedsFresh = diedBeforeUse(Result, *Admitted.Route);
+    if (!NeedsFresh)
+      Tried.push_back(Target->Name);
   }
   if (!LastRefusal)
     LastRefusal =
         refusal{.Kind = refusal_kind::NoHealthyTarget,
                 .Detail = "no target of service " +
                           Admitted.Service->Name.str() + " takes new work"};
-  co_return relay_result{.Refusal = std::move(LastRefusal)};
+  co_return relay_result{.Refusal = std::move(LastRefusal),
+                         .KeepCaller = mayKeepCaller()};
+}
+
+bool request_relay::mayKeepCaller() const {
+  return !UploadCut && Request.get().keep_alive() && !Worker.shuttingDown() &&
+         !Worker.snapshot()->Leaving;
+}
+
+bool request_relay::diedBeforeUse(const attempt_result &Result,
+                                  const route &Route) const {
+  return Result.ReusedConnection && Route.Repeatable &&
+         Result.Progress != attempt_progress::AnswerStarted &&
+         Result.Progress != attempt_progress::Shed && !isTimeout(Result.Error);
 }
 
 const target *request_relay::choose(const admitted_request &Admitted,
@@ -113,49 +128,102 @@
   return chooseTarget(Snapshot, Candidates, Worker.random());
 }
 
+attempt_end request_relay::endOf(const attempt_result &Result) {
+  if (Result.CallerLeft || Result.Cause)
+    return attempt_end::Cancelled;
+  if (Result.Whole)
+    return Result.Status >= 500 ? attempt_end::AnsweredError
+                                : attempt_end::Answered;
+  if (Result.Progress == attempt_progress::Shed)
+    return attempt_end::Shed;
+  if (Result.Progress == attempt_progress::NotConnected)
+    return attempt_end::ConnectFailed;
+  return isTimeout(Result.Error) ? attempt_end::TimedOut : attempt_end::Broken;
+}
+
 void request_relay::observe(const service &Service, const target &Target,
                             const attempt_result &Result, instant StartedAt) {
-  attempt_observation Observation{.Service = Service.Name,
-                                  .Target = Target.Name,
-                                  .Latency = bootNow() - StartedAt,
-                                  .ReusedConnection = Result.ReusedConnection};
-  if (Result.Whole)
-    Observation.End = Result.Status >= 500 ? attempt_end::AnsweredError
-                                           : attempt_end::Answered;
-  else if (Result.Progress == attempt_progress::NotConnected)
-    Observation.End = attempt_end::ConnectFailed;
-  else if (Result.Error == beast::error::timeout)
-    Observation.End = attempt_end::TimedOut;
-  else
-    Observation.End = attempt_end::Broken;
-  Worker.observe(std::move(Observation));
-}
-
-task<request_relay::attempt_result> request_relay::attempt(const target &Target,
-                                                           const route &Route) {
+  using clock = std::chrono::steady_clock;
+  const auto Now = clock::now();
+  const duration SinceHead =
+      Result.HeadAt == clock::time_point{} ? duration{0} : Now - Result.HeadAt;
+  const duration Age = Result.ConnectedAt == clock::time_point{}
+                           ? duration{0}
+                           : Now - Result.ConnectedAt;
+  Worker.observe({.Service = Service.Name,
+                  .Target = Target.Name,
+                  .End = endOf(Result),
+                  .Latency = bootNow() - StartedAt - SinceHead,
+                  .ReusedConnection = Result.ReusedConnection,
+                  .ConnectionAge = Age,
+                  .Signal = Result.Report.Draining ? target_signal::Draining
+                                                   : target_signal::None,
+                  .ReportedLoad = Result.Report.Load});
+}
+
+task<std::optional<refusal>> request_relay::gatherBody(const route &Route) {
+  if (Request.is_done())
+    co_return std::nullopt;
+  if (announcesTooMuch(Request, Route))
+    co_return bodyTooLarge(Route);
+  Watch.cancelAt(Deadline);
+  Caller.expires_never();
+  boost::system::error_code Error;
+  if (Request.get().count(http::field::expect) > 0) {
+    const auto Continue =
+        asio::buffer(ContinueAnswer.data(), ContinueAnswer.size());
+    std::tie(Error, std::ignore) =
+        co_await asio::async_write(Caller, Continue, UseTaskTuple);
+  }
+  Space = std::make_unique<relay_buffer>();
+  while (!Error && !Request.is_done() && Gathered < Space->size()) {
+    auto [ReadError, Size] =
+        co_await readBodyPart(Caller, CallerBuffer, Request, *Space, Gathered);
+    Error = ReadError;
+    Gathered += Size;
+  }
+  const bool Late = Watch.deadlinePassed();
+  Watch.disarm();
+  if (Gathered > Route.MaxBodyBytes)
+    co_return bodyTooLarge(Route);
+  if (Late)
+    co_return refusal{.Kind = refusal_kind::DeadlineExceeded,
+                      .Detail = "the body did not arrive in time"};
+  if (isParseError(Error))
+    co_return refusal{.Kind = refusal_kind::MalformedRequest,
+                      .Detail = "body: " + Error.message()};
+  CallerLeft = static_cast<bool>(Error);
+  co_return std::nullopt;
+}
+
+task<request_relay::attempt_result>
+request_relay::attempt(const target &Target, const admitted_request &Admitted) {
   attempt_result Result;
   const slot_guard Slot = Worker.targets().occupySlot(Target.Name);
-  Caller.expires_at(Deadline);
   target_connection_ptr Connection =
-      co_await connect(Target, !Route.Repeatable);
+      co_await connect(Target, NeedsFresh || !Admitted.Route->Repeatable);
   if (!Connection) {
     Result.Detail = "target " + Target.Name.str() + " refused a connection";
     co_return Result;
   }
-  Connection->Stream.expires_at(Deadline);
+  Result.ReusedConnection = Connection->Uses++ > 0;
+  Result.ConnectedAt = Connection->OpenedAt;
   Result.Progress = attempt_progress::NothingSent;
-  boost::system::error_code Error =
-      co_await sendRequest(*Connection, Result.Progress);
+  Connection->Stream.expires_at(Deadline);
+  co_await sendRequest(*Connection, Admitted, Result);
   bool Reusable = false;
-  if (!Error)
-    Error = co_await passAnswer(*Connection, Result, Reusable);
-  Result.Error = Error;
-  if (Error) {
-    Result.Detail = "target " + Target.Name.str() + ": " + Error.message();
-    co_return Result;
+  if (!Result.Error && !Result.Cause && !Result.CallerLeft) {
+    Watch.closeWhenCallerLeaves(Connection->Stream);
+    Result.Error = co_await passAnswer(*Connection, Result, Reusable);
+    Result.CallerLeft = Watch.callerLeft();
+    Watch.disarm();
   }
-  Result.Whole = true;
-  if (Reusable)
+  if (Result.Error)
+    Result.Detail =
+        "target " + Target.Name.str() + ": " + Result.Error.message();
+  Result.Whole = !Result.Error && !Result.Cause && !Result.CallerLeft &&
+                 Result.Progress == attempt_progress::AnswerStarted;
+  if (Reusable && !UploadCut)
     Worker.targets().giveBack(Target.Name, std::move(Connection));
   co_return Result;
 }
@@ -179,66 +247,161 @@
   co_return std::make_unique<target_connection>(std::move(Stream));
 }
 
-task<boost::system::error_code>
-request_relay::sendRequest(target_connection &Connection,
-                           attempt_progress &Progress) {
+task<void> request_relay::sendRequest(target_connection &Connection,
+                                      const admitted_request &Admitted,
+                                      attempt_result &Result) {
   http::request<http::buffer_body> Forwarded(Request.get().base());
-  removeHopByHopFields(Forwarded);
-  removeSecrets(Forwarded);
-  Forwarded.body().data = nullptr;
-  Forwarded.body().size = 0;
-  Forwarded.body().more = !Request.is_done();
+  const auto TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Deadline - std::chrono::steady_clock::now());
+  prepareForTarget(
+      Forwarded,
+      {.Account = Admitted.Account ? Admitted.Account->Name.view() : "",
+       .TimeLeft = std::max(TimeLeft, std::chrono::milliseconds{0})});
+  auto &Body = Forwarded.body();
+  Body.data = Gathered > 0 ? Space->data() : nullptr;
+  Body.size = Gathered;
+  Body.more = BodyConsumed || !Request.is_done();
   http::request_serializer<http::buffer_body> Serializer(Forwarded);
-  Progress = attempt_progress::PartlySent;
-  auto [Error, Written] = co_await http::async_write_header(
-      Connection.Stream, Serializer, UseTaskTuple);
-  if (Error)
-    co_return Error;
-  if (!Request.is_done()) {
-    BodyStarted = true;
-    Error = co_await relayBody(Caller, CallerBuffer, Request, Serializer,
-                               Forwarded.body(), Connection.Stream);
+  auto [Error, Written] =
+      co_await http::async_write(Connection.Stream, Serializer, UseTaskTuple);
+  if (Written > 0)
+    Result.Progress = attempt_progress::PartlySent;
+  if (Error && Error != http::error::need_buffer) {
+    Result.Error = Error;
+    co_return;
+  }
+  if (!Request.is_done())
+    co_await streamBody(Connection, Serializer, Body,
+                        Admitted.Route->MaxBodyBytes, Result);
+  if (!Result.Error && !Result.Cause && !UploadCut)
+    Result.Progress = attempt_progress::WhollySent;
+}
+
+template <typename Serializer>
+task<void>
+request_relay::streamBody(target_connection &Connection, Serializer &Sink,
+                          http::buffer_body::value_type &SinkBody,
+                          std::uint64_t MaxBodyBytes, attempt_result &Result) {
+  BodyConsumed = true;
+  UploadCut = true;
+  Watch.cancelWhenTargetAnswers(Connection.Stream);
+  Watch.cancelAt(Deadline);
+  CallerBuffer.reserve(RelayBufferBytes);
+  body_copy<caller_request_parser, Serializer> Copy{.From = Caller,
+                                                    .Buffer = CallerBuffer,
+                                                    .Source = Request,
+                                                    .Sink = Sink,
+                                                    .SinkBody = SinkBody,
+                                                    .To = Connection.Stream,
+                                                    .Space = *Space,
+                                                    .Watch = Watch,
+                                                    .Allowance = MaxBodyBytes -
+                                                                 Gathered};
+  const relay_end End = co_await relayBody(Copy);
+  noteUploadEnd(End, Result);
+  Watch.disarm();
+}
+
+void request_relay::noteUploadEnd(const relay_end &End,
+                                  attempt_result &Result) {
+  Result.Error = End.Error;
+  switch (End.Failed) {
+  case relay_part::None:
+    UploadCut = false;
+    break;
+  case relay_part::Limit:
+    Result.Cause = refusal_kind::BodyTooLarge;
+    Result.Detail = "the body is larger than the limit of the route";
+    break;
+  case relay_part::Source:
+    if (isParseError(End.Error))
+      Result.Cause = refusal_kind::MalformedRequest;
+    else
+      Result.CallerLeft = true;
+    break;
+  case relay_part::Watch:
+    if (!Watch.targetAnswered()) {
+      Result.Cause = refusal_kind::DeadlineExceeded;
+      break;
+    }
+    [[fallthrough]];
+  case relay_part::Sink:
+    // The target may have answered before it took the whole body.
+    Result.Error = {};
+    break;
   }
-  if (!Error)
-    Progress = attempt_progress::WhollySent;
-  co_return Error;
 }
 
 task<boost::system::error_code>
 request_relay::passAnswer(target_connection &Connection, attempt_result &Result,
                           bool &Reusable) {
   beast::flat_buffer Buffer;
-  http::response_parser<http::buffer_body> Answer;
-  Answer.header_limit(MaxAnswerHead);
-  Answer.body_limit(boost::none);
-  Answer.skip(Request.get().method() == http::verb::head);
-  auto [Error, Read] = co_await http::async_read_header(
-      Connection.Stream, Buffer, Answer, UseTaskTuple);
-  if (Error)
-    co_return Error;
+  Buffer.reserve(AnswerBufferBytes);
+  std::optional<http::response_parser<http::buffer_body>> Answer;
+  do {
+    Answer.emplace();
+    Answer->header_limit(MaxAnswerHead);
+    Answer->body_limit(boost::none);
+    Answer->skip(Request.get().method() == http::verb::head);
+    auto [Error, Read] = co_await http::async_read_header(
+        Connection.Stream, Buffer, *Answer, UseTaskTuple);
+    if (Error)
+      co_return Error;
+  } while (Answer->get().result() == http::status::continue_ ||
+           Answer->get().result() == http::status::processing);
+  Result.HeadAt = std::chrono::steady_clock::now();
+  Result.Status = Answer->get().result_int();
+  Result.Report = readTargetReport(Answer->get(), Result.Status);
+  const bool TargetKeeps = Answer->get().keep_alive();
+  if (Result.Report.Shed) {
+    Result.Progress = attempt_progress::Shed;
+    Result.Detail = "the target shed the request";
+    co_return boost::system::error_code{};
+  }
   Result.Progress = attempt_progress::AnswerStarted;
-  Result.Status = Answer.get().result_int();
+  const auto Error = co_await passBody(Connection, Buffer, *Answer, Result);
+  Reusable = !Error && TargetKeeps && Buffer.size() == 0;
+  co_return Error;
+}
+
+template <typename Parser>
+task<boost::system::error_code>
+request_relay::passBody(target_connection &Connection,
+                        beast::flat_buffer &Buffer, Parser &Answer,
+                        attempt_result &Result) {
   http::response<http::buffer_body> Passed(Answer.get().base());
-  const bool TargetKeeps = Answer.get().keep_alive();
-  removeHopByHopFields(Passed);
+  prepareForCaller(Passed);
   // An answer that ends with its connection has no length of its own.
   if (!Answer.is_done() && !Answer.content_length() && !Answer.chunked())
     Passed.chunked(true);
-  Passed.keep_alive(KeepCaller);
+  Passed.keep_alive(mayKeepCaller());
   Passed.body().data = nullptr;
   Passed.body().size = 0;
   Passed.body().more = !Answer.is_done();
   http::response_serializer<http::buffer_body> Serializer(Passed);
   CallerGotBytes = true;
-  auto [WriteError, Written] =
-      co_await http::async_write_header(Caller, Serializer, UseTaskTuple);
-  if (WriteError)
-    co_return WriteError;
-  if (!Answer.is_done())
-    Error = co_await relayBody(Connection.Stream, Buffer, Answer, Serializer,
-                               Passed.body(), Caller);
-  Reusable = !Error && TargetKeeps && Buffer.size() == 0;
-  co_return Error;
+  Caller.expires_at(Deadline);
+  // Body bytes that came with the head go out with it.
+  if (Answer.is_done() || Buffer.size() == 0) {
+    auto [Error, Written] =
+        co_await http::async_write_header(Caller, Serializer, UseTaskTuple);
+    if (Error || Answer.is_done())
+      co_return Error;
+  }
+  if (!Space)
+    Space = std::make_unique<relay_buffer>();
+  body_copy<Parser, http::response_serializer<http::buffer_body>> Copy{
+      .From = Connection.Stream,
+      .Buffer = Buffer,
+      .Source = Answer,
+      .Sink = Serializer,
+      .SinkBody = Passed.body(),
+      .To = Caller,
+      .Space = *Space,
+      .Watch = Watch};
+  const relay_end End = co_await relayBody(Copy);
+  Result.CallerLeft = End.Failed == relay_part::Sink;
+  co_return End.Error;
 }
 
 } // namespace peridot
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -6,6 +6,8 @@
 #include <optional>
 
 #include "coordination/routing/outcome_table.h"
+#include "protocol/http/header_rules.h"
+#include "transport/callers/internal/body_relay.h"
 #include "transport/callers/internal/caller_session.h"
 
 namespace peridot {
@@ -14,8 +16,11 @@
 struct relay_result {
   /// Set when no byte of an answer went to the caller yet.
   std::optional<refusal> Refusal;
-  /// True when the caller's connection can carry another request.
+  /// True when the whole request was read, so that the caller's connection can
+  /// carry another.
   bool KeepCaller = false;
+  unsigned Status = 0;     ///< Of the answer passed on; 0: none.
+  bool CallerLeft = false; ///< The caller went away first.
 };
 
 /// Serves one request; made anew for each.
@@ -23,9 +28,9 @@
 public:
   request_relay(traffic_worker &Worker, tcp_stream &Caller,
                 boost::beast::flat_buffer &CallerBuffer,
-                caller_request_parser &Request)
+                caller_request_parser &Request, relay_watch &Watch)
       : Worker(Worker), Caller(Caller), CallerBuffer(CallerBuffer),
-        Request(Request) {}
+        Request(Request), Watch(Watch) {}
 
   task<relay_result> run(const admitted_request &Admitted,
                          const routing_snapshot &Snapshot);
@@ -35,33 +40,67 @@
   struct attempt_result {
     bool Whole = false; ///< The whole answer was passed on.
     bool ReusedConnection = false;
+    bool CallerLeft = false;
     unsigned Status = 0; ///< Of the target's answer; 0: none came.
     boost::system::error_code Error;
     attempt_progress Progress = attempt_progress::NotConnected;
+    /// Set when the attempt ended for a reason of the caller or of time.
+    std::optional<refusal_kind> Cause;
     std::string Detail;
+    target_report Report;
+    std::chrono::steady_clock::time_point ConnectedAt{};
+    std::chrono::steady_clock::time_point HeadAt{};
   };
 
   const target *choose(const admitted_request &Admitted,
                        const routing_snapshot &Snapshot);
   void observe(const service &Service, const target &Target,
                const attempt_result &Result, instant StartedAt);
-  task<attempt_result> attempt(const target &Target, const route &Route);
+  static attempt_end endOf(const attempt_result &Result);
+
+  /// Reads the start of the body, which is kept for further attempts; a
+  /// refusal when that fails.
+  task<std::optional<refusal>> gatherBody(const route &Route);
+  task<attempt_result> attempt(const target &Target,
+                               const admitted_request &Admitted);
   task<target_connection_ptr> connect(const target &Target, bool Fresh);
-  /// Sends head and body; empty on success.
-  task<boost::system::error_code> sendRequest(target_connection &Connection,
-                                              attempt_progress &Progress);
+  /// Sends head and body; the result tells how far it got.
+  task<void> sendRequest(target_connection &Connection,
+                         const admitted_request &Admitted,
+                         attempt_result &Result);
+  /// Sends the part of the body that was not gathered.
+  template <typename Serializer>
+  task<void> streamBody(target_connection &Connection, Serializer &Sink,
+                        boost::beast::http::buffer_body::value_type &SinkBody,
+                        std::uint64_t MaxBodyBytes, attempt_result &Result);
+  void noteUploadEnd(const relay_end &End, attempt_result &Result);
   task<boost::system::error_code> passAnswer(target_connection &Connection,
                                              attempt_result &Result,
                                              bool &Reusable);
+  /// Passes on an answer whose head was read.
+  template <typename Parser>
+  task<boost::system::error_code>
+  passBody(target_connection &Connection, boost::beast::flat_buffer &Buffer,
+           Parser &Answer, attempt_result &Result);
+
+  bool isLate() const { return std::chrono::steady_clock::now() >= Deadline; }
+  bool mayKeepCaller() const;
+  /// True if an attempt failed only because its reused connection had died.
+  bool diedBeforeUse(const attempt_result &Result, const route &Route) const;
 
   traffic_worker &Worker;
   tcp_stream &Caller;
   boost::beast::flat_buffer &CallerBuffer;
   caller_request_parser &Request;
+  relay_watch &Watch;
   std::vector<target_name> Tried;
-  bool BodyStarted = false;
+  std::unique_ptr<relay_buffer> Space; ///< Starts with the gathered body.
+  std::size_t Gathered = 0;
+  bool BodyConsumed = false; ///< More was read than the gathered part.
+  bool UploadCut = false;    ///< The body was not read to its end.
+  bool NeedsFresh = false;
+  bool CallerLeft = false;
   bool CallerGotBytes = false;
-  bool KeepCaller = false;
   std::chrono::steady_clock::time_point Deadline{};
 };
 
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -79,13 +79,24 @@
   });
 }
 
+void traffic_worker::turnAway(tcp_socket Socket) {
+  if (TurningAway >= MaxTurningAway)
+    return; // The socket's destructor closes it.
+  ++TurningAway;
+  asio::co_spawn(Loop.context(),
+                 caller_session::turnAway(*this, tcp_stream(std::move(Socket))),
+                 [this](const std::exception_ptr &) { --TurningAway; });
+}
+
 task<void> traffic_worker::acceptCallers() {
   while (Acceptor.is_open()) {
     auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
     if (Error)
       continue;
-    if (Connections >= Options.Limits.MaxConnections)
-      continue; // The socket's destructor closes it.
+    if (Connections >= Options.Limits.MaxConnections) {
+      turnAway(std::move(Socket));
+      continue;
+    }
     Socket.set_option(asio::ip::tcp::no_delay(true), Error);
     connectionOpened();
     asio::co_spawn(Loop.context(),
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -41,7 +41,7 @@
       [](const client_account &) { return rate_admitted{}; };
   /// Gets the attempts of the last moments, on the traffic thread.
   std::function<void(std::vector<attempt_observation>)> Observe =
-      [](std::vector<attempt_observation>) {};
+      [](const std::vector<attempt_observation> &) {};
 };
 
 /// Owns one thread that accepts callers and serves their requests. All
@@ -87,7 +87,11 @@
   void connectionClosed() { --Connections; }
 
 private:
+  /// Refusals of connections that run at once; more are closed unanswered.
+  static constexpr std::size_t MaxTurningAway = 256;
+
   task<void> acceptCallers();
+  void turnAway(tcp_socket Socket);
   void handOverObservations();
 
   traffic_options Options;
@@ -98,6 +102,7 @@
   target_pool Targets;
   std::mt19937_64 Random{std::random_device{}()};
   std::atomic<std::size_t> Connections{0};
+  std::size_t TurningAway = 0;
   bool ShuttingDown = false;
   event_loop Loop;
   tcp_acceptor Acceptor;
--- a/src/transport/targets/target_pool.h
+++ b/src/transport/targets/target_pool.h
@@ -17,6 +17,9 @@
   explicit target_connection(tcp_stream Open) : Stream(std::move(Open)) {}
 
   tcp_stream Stream;
+  unsigned Uses = 0; ///< Requests that were sent on it.
+  std::chrono::steady_clock::time_point OpenedAt =
+      std::chrono::steady_clock::now();
   std::chrono::steady_clock::time_point IdleSince{};
 };
 
