--- /dev/null
+++ b/src/coordination/membership/tests/home_vms_test.cpp
@@ -0,0 +1,40 @@
+#include "coordination/membership/home_vms.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+
+namespace {
+
+struct home_vms_fixture {
+  std::vector<member> Members;
+  account_name Account{"keepers"};
+
+  home_vms_fixture() {
+    for (int Index = 0; Index < 12; ++Index)
+      Members.push_back(
+          {.Vm = vm_name("vm-" + std::to_string(Index)),
+           .DataCenter = data_center_name(Index % 2 ? "a" : "b")});
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(home_vms_fixture, "homeVms_twoDataCenters_countInEach") {
+  const auto Homes = homeVms(Account, Members, 3);
+  CHECK(Homes.size() == 6);
+  std::ranges::reverse(Members);
+  CHECK(homeVms(Account, Members, 3) == Homes);
+}
+
+TEST_CASE_FIXTURE(home_vms_fixture, "homeVms_oneHomeLeaves_othersStay") {
+  const auto Before = homeVms(Account, Members, 2);
+  for (member &Member : Members)
+    Member.Leaving = Member.Vm == Before[0];
+  const auto After = homeVms(Account, Members, 2);
+  CHECK(std::ranges::find(After, Before[0]) == After.end());
+  for (std::size_t Index = 1; Index < Before.size(); ++Index)
+    CHECK(std::ranges::find(After, Before[Index]) != After.end());
+}
