Detect gray failures over the fleet's evidence under a floor

Cause: no VM sees enough requests to judge a target alone. VMs now count attempts per target and report only what departs from the service's usual; a sequential test per service adds the reports up, relative to the peers, tells a link problem by the observers' data centre, ejects under the floor and readmits through trials that double with each relapse. chooseTarget gives targets on trial one in 32 repeatable requests.

Ruled out: absolute error thresholds (a slow dependency would eject all); removing only at ejection time without returning targets later (see below).

--- /dev/null
+++ b/src/coordination/health/internal/target_evidence.cpp
@@ -0,0 +1,115 @@
+#include "coordination/health/internal/target_evidence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridot {
+
+namespace {
+
+/// A score above this multiple of the threshold says nothing more.
+constexpr double BoundRatio = 1.5;
+
+} // namespace
+
+request_sample &request_sample::operator+=(const request_sample &Other) {
+  Requests += Other.Requests;
+  Failures += Other.Failures;
+  Slow += Other.Slow;
+  return *this;
+}
+
+request_sample &request_sample::operator-=(const request_sample &Other) {
+  Requests -= Other.Requests;
+  Failures -= Other.Failures;
+  Slow -= Other.Slow;
+  return *this;
+}
+
+request_sample &request_sample::operator*=(double Factor) {
+  Requests *= Factor;
+  Failures *= Factor;
+  Slow *= Factor;
+  return *this;
+}
+
+void evidence_channel::add(const data_center_name &From, double Increment,
+                           double Bound) {
+  ByDataCenter[From].add(Increment, Bound);
+}
+
+void evidence_channel::reset() {
+  Fused.reset();
+  ByDataCenter.clear();
+}
+
+double evidence_channel::from(const data_center_name &DataCenter) const {
+  const auto Found = ByDataCenter.find(DataCenter);
+  return Found == ByDataCenter.end() ? 0 : Found->second.score();
+}
+
+unsigned evidence_channel::dataCentersAt(double Score) const {
+  return static_cast<unsigned>(
+      std::ranges::count_if(ByDataCenter, [Score](const auto &Entry) {
+        return Entry.second.score() >= Score;
+      }));
+}
+
+void target_evidence::note(const data_center_name &From,
+                           const target_counts &Counts) {
+  Noted[From] += {.Requests = static_cast<double>(Counts.Requests),
+                  .Failures = static_cast<double>(Counts.Failures),
+                  .Slow = static_cast<double>(Counts.Slow)};
+}
+
+samples_by_data_center target_evidence::takeNoted() {
+  return std::exchange(Noted, {});
+}
+
+double target_evidence::scoreChannel(evidence_channel &Channel,
+                                     const test_hypotheses &Hypotheses,
+                                     const samples_by_data_center &Samples,
+                                     double request_sample::*Bad,
+                                     double Bound) {
+  double Sum = 0;
+  for (const auto &[From, Sample] : Samples) {
+    const double Ratio = logLikelihoodRatio(
+        Hypotheses, {.Requests = Sample.Requests, .Bad = Sample.*Bad});
+    Channel.add(From, Ratio, Bound);
+    Sum += Ratio;
+  }
+  Channel.addFused(Sum, Bound);
+  return Sum;
+}
+
+void target_evidence::score(const detection_options &Options,
+                            const samples_by_data_center &Samples,
+                            const peer_shares &Peers) {
+  const double Bound = Options.Threshold * BoundRatio;
+  const double ByFailures =
+      scoreChannel(Failures, relativeTo(Options.Failures, Peers.Failures),
+                   Samples, &request_sample::Failures, Bound);
+  const double BySlow = scoreChannel(Slow, relativeTo(Options.Slow, Peers.Slow),
+                                     Samples, &request_sample::Slow, Bound);
+  SecondLook.add(std::max(ByFailures, BySlow), Bound);
+  for (const auto &[From, Sample] : Samples)
+    Recent += Sample;
+}
+
+void target_evidence::reset() {
+  Failures.reset();
+  Slow.reset();
+  SecondLook.reset();
+  Noted.clear();
+  Recent = {};
+}
+
+double target_evidence::fused() const {
+  return std::max(Failures.fused(), Slow.fused());
+}
+
+double target_evidence::from(const data_center_name &DataCenter) const {
+  return std::max(Failures.from(DataCenter), Slow.from(DataCenter));
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/coordination/health/internal/target_record.cpp
@@ -0,0 +1,23 @@
+#include "coordination/health/internal/target_record.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+void target_record::enter(verdict_state Next, instant Now) {
+  State = Next;
+  Since = Now;
+  Suspected = false;
+  WithheldTold = false;
+  TrialGood = 0;
+  Evidence.reset();
+}
+
+double target_record::lengthened(double Base,
+                                 const readmission_options &Options) const {
+  const unsigned Doublings =
+      std::min(Relapses == 0 ? 0 : Relapses - 1, Options.MostDoublings);
+  return Base * static_cast<double>(1U << Doublings);
+}
+
+} // namespace peridot
--- a/src/coordination/routing/target_choice.h
+++ b/src/coordination/routing/target_choice.h
@@ -17,11 +17,16 @@
   bool AlreadyTried = false; ///< By this request; never chosen again.
 };
 
+/// One in this many repeatable requests goes to a target on trial.
+inline constexpr std::uint64_t TrialInterval = 32;
+
 /// Takes two random serving candidates and returns the less loaded, preferring
 /// the own data centre; nullptr when none may be used.
 /// \param Random uniformly distributed bits.
+/// \param MayTry true for a repeatable request, of which a trickle goes to
+///        targets on trial.
 const target *chooseTarget(const routing_snapshot &Snapshot,
                            std::span<const target_candidate> Candidates,
-                           std::uint64_t Random);
+                           std::uint64_t Random, bool MayTry = false);
 
 } // namespace peridot
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -110,7 +110,8 @@
          .Outstanding = Worker.targets().outstanding(Target.Name),
          .SameDataCenter = Target.DataCenter == Worker.options().DataCenter,
          .AlreadyTried = std::ranges::find(Tried, Target.Name) != Tried.end()});
-  return chooseTarget(Snapshot, Candidates, Worker.random());
+  return chooseTarget(Snapshot, Candidates, Worker.random(),
+                      Admitted.Route->Repeatable);
 }
 
 void request_relay::observe(const service &Service, const target &Target,
