--- a/src/coordination/health/internal/service_health.cpp
+++ b/src/coordination/health/internal/service_health.cpp
@@ -64,8 +64,9 @@
   return finish();
 }
 
-void service_health::beginTerm(epoch Epoch) {
-  Verdicts.Version = {.Epoch = Epoch, .Number = 1};
+void service_health::beginTerm(epoch Epoch, verdict_version Held) {
+  const std::uint64_t Number = Held.Epoch == Epoch ? Held.Number : 0;
+  Verdicts.Version = {.Epoch = Epoch, .Number = Number + 1};
 }
 
 health_decisions service_health::handle(const health_event &Event,
@@ -79,8 +80,6 @@
   for (const target_counts &Counts : Event.Report.Targets)
     if (target_record *Target = find(Counts.Target))
       Target->Evidence.note(Event.DataCenter, Counts);
-  for (const target_id Draining : Event.Report.Draining)
-    on(drain_noticed{Draining}, Now);
 }
 
 void service_health::on(const drain_noticed &Event, instant Now) {
--- a/src/coordination/health/service_health.h
+++ b/src/coordination/health/service_health.h
@@ -24,8 +24,8 @@
   health_decisions configure(const service &Declared, instant Now);
   /// Continues from verdicts that others hold; keeps none of its own.
   health_decisions adopt(const service_verdicts &Held, instant Now);
-  /// Starts the versions of a new term.
-  void beginTerm(epoch Epoch);
+  /// Starts the versions of a term, above \p Held where that is of this term.
+  void beginTerm(epoch Epoch, verdict_version Held);
 
   health_decisions handle(const health_event &Event, instant Now);
 
--- a/src/coordination/health/tests/floor_property_test.cpp
+++ b/src/coordination/health/tests/floor_property_test.cpp
@@ -43,7 +43,7 @@
     Machine = service_health(service_health_options{});
     Machine.configure(Service, Now);
     Machine.adopt(Held, Now);
-    Machine.beginTerm(Held.Version.Epoch.next());
+    Machine.beginTerm(Held.Version.Epoch.next(), Held.Version);
     RC_ASSERT(Machine.verdicts().Version > Held.Version);
   }
 
--- a/src/coordination/health/tests/service_health_test.cpp
+++ b/src/coordination/health/tests/service_health_test.cpp
@@ -106,7 +106,7 @@
   service_health Successor{service_health_options{}};
   Successor.configure(Service, Now);
   Successor.adopt(Held, Now);
-  Successor.beginTerm(epoch{7});
+  Successor.beginTerm(epoch{7}, Held.Version);
   CHECK(Successor.verdicts().Targets == Held.Targets);
   CHECK(Successor.verdicts().Version > Held.Version);
 }
--- a/src/coordination/health/types/health_report.h
+++ b/src/coordination/health/types/health_report.h
@@ -42,7 +42,6 @@
   verdict_version Held;       ///< Verdicts that the VM has in force.
   /// Targets that depart from the usual, and those on trial.
   std::vector<target_counts> Targets;
-  std::vector<target_id> Draining; ///< Targets that said that they leave.
 
   bool operator==(const service_report &) const = default;
 };
--- /dev/null
+++ b/src/protocol/health_messages/health_codec.h
@@ -0,0 +1,19 @@
+/// \file
+/// Encodes health messages as FlatBuffers.
+#pragma once
+
+#include <vector>
+
+#include "coordination/health/types/health_messages.h"
+#include "protocol/peer_frames/types/peer_frame.h"
+#include "state/base/types/error.h"
+
+namespace peridot {
+
+/// Body of a frame with subject Health.
+std::vector<std::byte> encodeHealthMessage(const health_message &Message);
+
+/// Fails with Protocol when the body is damaged or has unknown values.
+result<health_message> decodeHealthMessage(bytes_view Body);
+
+} // namespace peridot
