--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -125,7 +125,8 @@
          .Outstanding = Worker.targets().outstanding(Target.Name),
          .SameDataCenter = Target.DataCenter == Worker.options().DataCenter,
          .AlreadyTried = std::ranges::find(Tried, Target.Name) != Tried.end()});
-  return chooseTarget(Snapshot, Candidates, Worker.random());
+  return chooseTarget(Snapshot, Candidates, Worker.random(),
+                      Admitted.Route->Repeatable);
 }
 
 attempt_end request_relay::endOf(const attempt_result &Result) {
