Spread configurations over peers; judge key freshness by reports

Cause: every VM watched the platform, so its load followed the VMs, and a VM that lost the platform refused keyed requests after 4 s even in an outage that hit everybody.

Now two feeders per data centre, by rendezvous rank, hold the watch; the next in rank step in when they are silent. The others ask one VM before them in a tree of fan-out 8 (two hops at 128 VMs), hear of new revisions at once over the sparse graph, and pull manifest and documents from that peer, each document checked by digest; a stalled pull falls back on the platform.

Freshness: a confirmation counts 4 s from the moment it was asked for, ages are added along the hops, and an answer counts from when its question was sent, so late messages only age. While the platform is away, a peer must answer and every data centre must have said within 3.5 s that it is away for it, and nobody may have named a higher revision.

Ruled out: pushing ages (a message held up in a queue looks fresh); a majority of data centres in an outage (the missing one may know of a withdrawal).

--- /dev/null
+++ b/src/coordination/rollout/internal/feeder_choice.cpp
@@ -0,0 +1,92 @@
+#include "coordination/rollout/feeder_choice.h"
+
+#include <algorithm>
+#include <set>
+
+#include "state/base/hashing.h"
+
+namespace peridot {
+
+namespace {
+
+struct ranked_vm {
+  std::uint64_t Weight = 0;
+  vm_name Vm;
+
+  auto operator<=>(const ranked_vm &) const = default; // NOLINT
+};
+
+std::size_t rankOf(const vm_name &Vm, std::span<const vm_name> Ranked) {
+  const auto Found = std::ranges::find(Ranked, Vm);
+  return static_cast<std::size_t>(Found - Ranked.begin());
+}
+
+std::set<data_center_name> dataCentersOf(std::span<const member> Members) {
+  std::set<data_center_name> Names;
+  for (const member &Member : Members)
+    Names.insert(Member.DataCenter);
+  return Names;
+}
+
+void appendFeeders(std::vector<vm_name> &Out, const feeder_position &Position,
+                   std::size_t Rank, const feeder_options &Options) {
+  for (const data_center_name &DataCenter : dataCentersOf(Position.Members)) {
+    const std::vector<vm_name> Ranked =
+        rankFeeders(DataCenter, Position.Members);
+    const std::size_t Feeders =
+        std::min(Options.FeedersPerDataCenter, Ranked.size());
+    if (Feeders == 0)
+      continue;
+    if (DataCenter != Position.DataCenter)
+      Out.push_back(Ranked[Rank % Feeders]);
+    else if (Feeders > 1)
+      Out.push_back(Ranked[(Rank + 1) % Feeders]);
+  }
+}
+
+} // namespace
+
+std::vector<vm_name> rankFeeders(const data_center_name &DataCenter,
+                                 std::span<const member> Members) {
+  std::vector<ranked_vm> Weighted;
+  for (const member &Member : Members)
+    if (Member.DataCenter == DataCenter && !Member.Leaving)
+      Weighted.push_back(
+          {rendezvousWeight("feeder", Member.Vm.view()), Member.Vm});
+  std::ranges::sort(Weighted, std::greater());
+  std::vector<vm_name> Ranked;
+  Ranked.reserve(Weighted.size());
+  for (ranked_vm &Each : Weighted)
+    Ranked.push_back(std::move(Each.Vm));
+  return Ranked;
+}
+
+bool shouldFeed(const feeder_position &Position,
+                std::optional<duration> SinceReport,
+                const feeder_options &Options) {
+  const std::vector<vm_name> Ranked =
+      rankFeeders(Position.DataCenter, Position.Members);
+  const std::size_t Rank = rankOf(Position.Self, Ranked);
+  if (Rank < Options.FeedersPerDataCenter || !SinceReport)
+    return true;
+  const std::size_t Behind = Rank - Options.FeedersPerDataCenter;
+  return *SinceReport >
+         Options.Silence + Options.RankDelay * static_cast<int>(Behind);
+}
+
+std::vector<vm_name> chooseInformants(const feeder_position &Position,
+                                      const feeder_options &Options) {
+  const std::vector<vm_name> Ranked =
+      rankFeeders(Position.DataCenter, Position.Members);
+  const std::size_t Rank = rankOf(Position.Self, Ranked);
+  std::vector<vm_name> Chosen;
+  if (Rank < Options.FeedersPerDataCenter || Rank == Ranked.size()) {
+    appendFeeders(Chosen, Position, Rank, Options);
+    return Chosen;
+  }
+  Chosen.push_back(
+      Ranked[(Rank - Options.FeedersPerDataCenter) / Options.FanOut]);
+  return Chosen;
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/rollout_messages/internal/rollout_codec.cpp
@@ -0,0 +1,130 @@
+#include "protocol/rollout_messages/rollout_codec.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "protocol/rollout_messages/generated/rollout_generated.h"
+
+namespace peridot {
+
+namespace wire = rollout_wire;
+
+namespace {
+
+using builder = flatbuffers::FlatBufferBuilder;
+
+constexpr std::int64_t MaxAgeMs = std::numeric_limits<std::uint16_t>::max();
+
+/// Rounds up, so that an age is never understated.
+std::uint16_t ageInMilliseconds(duration Age) {
+  const auto Rounded = std::chrono::ceil<std::chrono::milliseconds>(Age);
+  return static_cast<std::uint16_t>(
+      std::clamp<std::int64_t>(Rounded.count(), 0, MaxAgeMs));
+}
+
+struct encoded_body {
+  wire::body Kind = wire::body_NONE;
+  flatbuffers::Offset<void> Offset;
+};
+
+encoded_body encodeBody(builder &Out, const rollout_ask &Message) {
+  return {
+      wire::body_ask,
+      wire::Createask(Out, Message.Sequence, Message.InForce.Value).Union()};
+}
+
+encoded_body encodeBody(builder &Out, const rollout_answer &Message) {
+  std::vector<wire::report> Reports;
+  Reports.reserve(Message.Reports.size());
+  for (const platform_report &Report : Message.Reports)
+    Reports.emplace_back(Report.Revision.Value,
+                         static_cast<std::uint32_t>(Report.DataCenter.Value),
+                         ageInMilliseconds(Report.Age),
+                         static_cast<std::uint8_t>(Report.State));
+  const auto Rows = Out.CreateVectorOfStructs(Reports);
+  return {wire::body_answer,
+          wire::Createanswer(Out, Message.Sequence, Message.InForce.Value, Rows)
+              .Union()};
+}
+
+encoded_body encodeBody(builder &Out, const manifest_wanted &) {
+  return {wire::body_manifest_wanted, wire::Createmanifest_wanted(Out).Union()};
+}
+
+encoded_body encodeBody(builder &Out, const manifest_offered &Message) {
+  const auto Json = Out.CreateString(Message.Json);
+  return {wire::body_manifest_offered,
+          wire::Createmanifest_offered(Out, Json).Union()};
+}
+
+encoded_body encodeBody(builder &Out, const documents_wanted &Message) {
+  const auto Digests = Out.CreateVectorOfStrings(Message.Digests);
+  return {wire::body_documents_wanted,
+          wire::Createdocuments_wanted(Out, Digests).Union()};
+}
+
+encoded_body encodeBody(builder &Out, const document_offered &Message) {
+  const auto Digest = Out.CreateString(Message.Digest);
+  const auto Json = Out.CreateString(Message.Json);
+  return {wire::body_document_offered,
+          wire::Createdocument_offered(Out, Digest, Json).Union()};
+}
+
+rollout_answer decodeAnswer(const wire::answer &Answer) {
+  rollout_answer Out{.Sequence = Answer.sequence(),
+                     .InForce = {Answer.revision()}};
+  if (!Answer.reports())
+    return Out;
+  for (const wire::report *Report : *Answer.reports())
+    Out.Reports.push_back({.DataCenter = {Report->data_center()},
+                           .State = Report->state() == 0
+                                        ? platform_state::Confirmed
+                                        : platform_state::Away,
+                           .Revision = {Report->revision()},
+                           .Age = std::chrono::milliseconds(Report->age_ms())});
+  return Out;
+}
+
+documents_wanted decodeWanted(const wire::documents_wanted &Wanted) {
+  documents_wanted Out;
+  for (const flatbuffers::String *Digest : *Wanted.digests())
+    Out.Digests.push_back(Digest->str());
+  return Out;
+}
+
+} // namespace
+
+std::vector<std::byte> encodeRolloutMessage(const rollout_message &Message) {
+  builder Out;
+  const encoded_body Body =
+      std::visit([&](const auto &M) { return encodeBody(Out, M); }, Message);
+  Out.Finish(wire::Createmessage(Out, Body.Kind, Body.Offset));
+  const auto Bytes =
+      std::as_bytes(std::span(Out.GetBufferPointer(), Out.GetSize()));
+  return {Bytes.begin(), Bytes.end()};
+}
+
+result<rollout_message> decodeRolloutMessage(std::span<const std::byte> Bytes) {
+  const auto *Data = reinterpret_cast<const std::uint8_t *>(Bytes.data());
+  flatbuffers::Verifier Verifier(Data, Bytes.size());
+  if (wire::VerifymessageBuffer(Verifier)) {
+    const wire::message &Message = *wire::Getmessage(Data);
+    if (const auto *Ask = Message.body_as_ask())
+      return rollout_ask{Ask->sequence(), {Ask->revision()}};
+    if (const auto *Answer = Message.body_as_answer())
+      return decodeAnswer(*Answer);
+    if (Message.body_as_manifest_wanted())
+      return manifest_wanted{};
+    if (const auto *Manifest = Message.body_as_manifest_offered())
+      return manifest_offered{Manifest->json()->str()};
+    if (const auto *Wanted = Message.body_as_documents_wanted())
+      return decodeWanted(*Wanted);
+    if (const auto *Document = Message.body_as_document_offered())
+      return document_offered{Document->digest()->str(),
+                              Document->json()->str()};
+  }
+  return fail(error_kind::Protocol, "a rollout message is damaged or unknown",
+              "run the same version of peridotport on all VMs");
+}
+
+} // namespace peridot
--- /dev/null
+++ b/src/protocol/rollout_messages/tests/rollout_codec_test.cpp
@@ -0,0 +1,45 @@
+#include "protocol/rollout_messages/rollout_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct rollout_codec_fixture {
+  std::vector<rollout_message> Messages{
+      rollout_ask{7, {3}},
+      rollout_answer{8,
+                     {4},
+                     {{{9}, platform_state::Confirmed, {4}, 20ms},
+                      {{10}, platform_state::Away, {3}, 1s}}},
+      manifest_wanted{},
+      manifest_offered{"{}"},
+      documents_wanted{{"a", "b"}},
+      document_offered{"a", "text"}};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(rollout_codec_fixture, "decode_everyMessage_sameAgain") {
+  for (const rollout_message &Message : Messages) {
+    const auto Decoded = decodeRolloutMessage(encodeRolloutMessage(Message));
+    REQUIRE(Decoded);
+    CHECK(*Decoded == Message);
+  }
+}
+
+TEST_CASE_FIXTURE(rollout_codec_fixture, "decode_truncated_protocolError") {
+  for (const rollout_message &Message : Messages) {
+    const auto Bytes = encodeRolloutMessage(Message);
+    for (std::size_t Size = 0; Size + 8 < Bytes.size(); Size += 4)
+      CHECK_FALSE(decodeRolloutMessage(std::span(Bytes).first(Size)));
+  }
+}
+
+TEST_CASE_FIXTURE(rollout_codec_fixture, "encode_fractionOfAge_roundedUp") {
+  const rollout_answer Answer{1, {1}, {{.Age = 1500us}}};
+  const auto Decoded = decodeRolloutMessage(encodeRolloutMessage(Answer));
+  CHECK(std::get<rollout_answer>(*Decoded).Reports.at(0).Age == 2ms);
+}
--- a/src/transport/node/internal/rollout_driver.cpp
+++ b/src/transport/node/internal/rollout_driver.cpp
@@ -1,10 +1,13 @@
 #include "transport/node/internal/rollout_driver.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "state/base/hashing.h"
+#include "coordination/membership/neighbours.h"
+#include "protocol/rollout_messages/rollout_codec.h"
 #include "transport/logging/event_log.h"
 
 namespace peridot {
@@ -13,101 +16,255 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds WatchWait{1'000};
+constexpr std::chrono::milliseconds WatchWait{500};
+constexpr std::chrono::milliseconds WatchGrace{500};
 constexpr std::chrono::milliseconds RetryDelay{250};
 constexpr std::chrono::milliseconds FreshnessPeriod{250};
+constexpr std::chrono::milliseconds AskPeriod{1'000};
+/// Answers that take longer are worthless.
+constexpr std::chrono::seconds QuestionLimit{4};
+/// When keys would be stale this much later, the whole neighbourhood is asked.
+constexpr std::chrono::milliseconds LookAhead{500};
+/// Time that a VM stays a feeder once it stepped in.
+constexpr std::chrono::seconds FeederTenure{30};
+constexpr std::size_t MaxDocumentsPerRequest = 64;
 
 } // namespace
 
 rollout_driver::rollout_driver(control_context &Context)
-    : Context(Context), Machine(rollout_options{}) {}
+    : Context(Context), Store(Context), Freshness(freshness_options{}),
+      Pull(pull_options{}),
+      Questions(Context.Self.Incarnation.Value, QuestionLimit) {}
 
 void rollout_driver::start() {
-  FreshnessTimer = Context.Timers.every(
-      FreshnessPeriod, [this](instant Now) { updateFreshness(Now); });
-  asio::co_spawn(Context.Loop, watchCurrent(), asio::detached);
+  Context.Peers.subscribe(frame_subject::Rollout,
+                          [this](const peer_hello &Sender, bytes_view Body) {
+                            receive(Sender, Body);
+                          });
+  FreshnessTimer = Context.Timers.every(FreshnessPeriod,
+                                        [this](instant) { updateFreshness(); });
+  AskTimer = Context.Timers.every(AskPeriod,
+                                  [this](instant Now) { askInformants(Now); });
+  asio::co_spawn(Context.Loop, watchPlatform(), asio::detached);
+}
+
+feeder_position rollout_driver::position() const {
+  return {.Self = Context.Self.Vm,
+          .DataCenter = Context.Settings.DataCenter,
+          .Members = Context.Members.Members};
 }
 
-task<void> rollout_driver::watchCurrent() {
+freshness_verdict rollout_driver::freshness(instant Now) const {
+  return Freshness.judge({.Now = Now,
+                          .InForce = inForce(),
+                          .Self = Context.Self.Vm,
+                          .DataCenter = Context.Settings.DataCenter,
+                          .Members = Context.Members.Members});
+}
+
+// Towards the platform.
+
+task<void> rollout_driver::watchPlatform() {
   asio::steady_timer Delay(Context.Loop);
   while (true) {
-    const instant AskedAt = Context.Timers.now();
-    const auto Current = co_await Context.Platform.watch(
-        std::string(CurrentObject), WatchedVersion, WatchWait);
-    result<void> Loaded;
-    if (!Current) {
-      Loaded = tl::unexpected(Current.error());
-    } else if (*Current) {
-      auto Manifest = decodeManifest((*Current)->Body);
-      if (Manifest)
-        Loaded = co_await load(std::move(*Manifest));
-      else
-        Loaded = tl::unexpected(Manifest.error());
-      if (Loaded)
-        WatchedVersion = (*Current)->Version;
-    }
-    if (Loaded) {
-      confirm(Machine.inForce(), AskedAt);
-      continue;
+    if (needsPlatform()) {
+      const result<void> Called = co_await callPlatform();
+      updateFreshness();
+      if (Called)
+        continue;
+      logError("configuration-read-failed", Called.error());
     }
-    logError("configuration-read-failed", Loaded.error());
     Delay.expires_after(RetryDelay);
     co_await Delay.async_wait(UseTaskTuple);
   }
 }
 
+bool rollout_driver::needsPlatform() {
+  const instant Now = Context.Timers.now();
+  if (inForce() == revision{} || Pull.isStalled(Now) || Now < FeedsUntil)
+    return true;
+  std::optional<duration> SinceReport;
+  if (const auto Last = Freshness.lastReport(Context.Settings.DataCenter))
+    SinceReport = Now - *Last;
+  if (!shouldFeed(position(), SinceReport, Feeding))
+    return false;
+  const bool SteppedIn = SinceReport && *SinceReport > Feeding.Silence;
+  if (SteppedIn)
+    FeedsUntil = Now + FeederTenure;
+  return true;
+}
+
+task<result<void>> rollout_driver::callPlatform() {
+  const instant AskedAt = Context.Timers.now();
+  const auto Current = co_await Context.Platform.watch(
+      std::string(CurrentObject), WatchedVersion, WatchWait, WatchGrace);
+  if (!Current) {
+    Freshness.handle(platform_called{Context.Settings.DataCenter,
+                                     platform_state::Away, inForce(),
+                                     Context.Timers.now()});
+    co_return tl::unexpected(Current.error());
+  }
+  result<void> Loaded;
+  if (*Current) {
+    auto Manifest = decodeManifest((*Current)->Body);
+    if (!Manifest)
+      co_return tl::unexpected(Manifest.error());
+    PlatformRevision = Manifest->Revision;
+    Loaded = co_await load(std::move(*Manifest));
+    if (Loaded)
+      WatchedVersion = (*Current)->Version;
+  }
+  Freshness.handle(platform_called{Context.Settings.DataCenter,
+                                   platform_state::Confirmed, PlatformRevision,
+                                   AskedAt});
+  co_return Loaded;
+}
+
 task<result<void>> rollout_driver::load(configuration_manifest Manifest) {
-  std::vector<service_document> Parts;
+  if (Manifest.Revision <= inForce())
+    co_return result<void>{};
   for (const manifest_entry &Entry : Manifest.Documents) {
-    auto Part = co_await document(Entry.Digest);
-    if (!Part)
-      co_return tl::unexpected(Part.error());
-    Parts.push_back(std::move(*Part));
+    const result<void> Fetched = co_await fetchDocument(Entry.Digest);
+    if (!Fetched)
+      co_return tl::unexpected(Fetched.error());
   }
-  auto Whole = assemble(Manifest.Revision, Parts);
-  if (!Whole)
-    co_return tl::unexpected(Whole.error());
-  const rollout_effect Effect =
-      Machine.handle(configuration_received{std::move(*Whole)});
-  if (const auto *Accepted = std::get_if<configuration_in_force>(&Effect)) {
-    Context.Snapshots.update([&](routing_snapshot &Snapshot) {
-      Snapshot.Configuration = Accepted->Configuration;
-    });
-    Context.Decisions.record(
-        {.Kind = decision_kind::ConfigurationAccepted,
-         .Subject = subject_kind::Configuration,
-         .Name = std::to_string(Manifest.Revision.Value),
-         .Cause = "published by " + Manifest.Author + ": " + Manifest.Reason,
-         .Evidence =
-             std::to_string(Manifest.Documents.size()) + " service documents",
-         .Rule = "only a higher revision is accepted"});
-  }
-  co_return result<void>{};
+  co_return accept(Manifest);
 }
 
-task<result<service_document>> rollout_driver::document(std::string Digest) {
-  if (const auto Known = Documents.find(Digest); Known != Documents.end())
-    co_return Known->second;
-  const auto Stored = co_await Context.Platform.read(documentObject(Digest));
+task<result<void>> rollout_driver::fetchDocument(std::string Digest) {
+  if (Store.find(Digest))
+    co_return result<void>{};
+  auto Stored = co_await Context.Platform.read(documentObject(Digest));
   if (!Stored)
     co_return tl::unexpected(Stored.error());
-  if (!*Stored || sha256Hex((*Stored)->Body) != Digest)
+  if (!*Stored || !Store.add(Digest, std::move((*Stored)->Body)))
     co_return fail(error_kind::NotFound,
                    "document " + Digest + " is missing or damaged",
                    "publish the service files again");
-  auto Decoded = decodeDocument((*Stored)->Body);
-  if (Decoded)
-    Documents.emplace(Digest, *Decoded);
-  co_return Decoded;
+  Pull.addHeld(Digest);
+  co_return result<void>{};
+}
+
+result<void> rollout_driver::accept(const configuration_manifest &Manifest) {
+  const revision Before = inForce();
+  const result<void> Accepted = Store.accept(Manifest);
+  if (!Accepted || inForce() == Before)
+    return Accepted;
+  Pull.finish();
+  Pull.keepOnly(Manifest);
+  updateFreshness();
+  announce();
+  return {};
+}
+
+// Towards peers.
+
+void rollout_driver::send(const vm_name &Peer, const rollout_message &Message) {
+  Context.Peers.send(Peer, frame_subject::Rollout,
+                     encodeRolloutMessage(Message));
+}
+
+void rollout_driver::receive(const peer_hello &Sender, bytes_view Body) {
+  const auto Message = decodeRolloutMessage(Body);
+  if (!Message) {
+    logError("rollout-message-refused", Message.error());
+    return;
+  }
+  std::visit([&](const auto &M) { on(Sender.Sender.Vm, M); }, *Message);
+}
+
+std::vector<vm_name> rollout_driver::neighbours() const {
+  return chooseNeighbours(Context.Self.Vm, Context.Settings.DataCenter,
+                          Context.Members.Members, neighbour_options{});
+}
+
+void rollout_driver::askInformants(instant Now) {
+  std::vector<vm_name> Asked = chooseInformants(position(), Feeding);
+  if (!freshness(Now + LookAhead).fresh())
+    for (vm_name &Peer : neighbours())
+      if (std::ranges::find(Asked, Peer) == Asked.end())
+        Asked.push_back(std::move(Peer));
+  for (const vm_name &Peer : Asked)
+    send(Peer, rollout_ask{Questions.add(Peer, Now), inForce()});
+}
+
+void rollout_driver::announce() {
+  for (const vm_name &Peer : neighbours())
+    send(Peer, rollout_ask{.InForce = inForce()});
+}
+
+void rollout_driver::hearRevision(const vm_name &Peer, revision Revision) {
+  Freshness.handle(revision_heard{Revision});
+  if (Revision > inForce())
+    run(Pull.handle(higher_revision_heard{Peer, Context.Timers.now()}));
+}
+
+void rollout_driver::on(const vm_name &Peer, const rollout_ask &Message) {
+  hearRevision(Peer, Message.InForce);
+  if (Message.Sequence != 0)
+    send(Peer, rollout_answer{Message.Sequence, inForce(),
+                              Freshness.reports(Context.Timers.now(),
+                                                Context.Settings.DataCenter)});
+}
+
+void rollout_driver::on(const vm_name &Peer, const rollout_answer &Message) {
+  hearRevision(Peer, Message.InForce);
+  const auto AskedAt = Questions.take(Peer, Message.Sequence);
+  if (!AskedAt)
+    return;
+  Freshness.handle(
+      reports_received{Message.Reports, Message.InForce, *AskedAt});
+  updateFreshness();
+}
+
+void rollout_driver::on(const vm_name &Peer, const manifest_wanted &) {
+  if (inForce() > revision{})
+    send(Peer, manifest_offered{encodeManifest(Store.manifest())});
+}
+
+void rollout_driver::on(const vm_name &Peer, const manifest_offered &Message) {
+  auto Manifest = decodeManifest(Message.Json);
+  if (!Manifest) {
+    logError("rollout-message-refused", Manifest.error());
+    return;
+  }
+  if (Manifest->Revision > inForce())
+    run(Pull.handle(
+        manifest_arrived{Peer, std::move(*Manifest), Context.Timers.now()}));
+}
+
+void rollout_driver::on(const vm_name &Peer, const documents_wanted &Message) {
+  const std::span Digests(Message.Digests);
+  for (const std::string &Digest :
+       Digests.first(std::min(Digests.size(), MaxDocumentsPerRequest)))
+    if (const std::string *Json = Store.find(Digest))
+      send(Peer, document_offered{Digest, *Json});
+}
+
+void rollout_driver::on(const vm_name &Peer, const document_offered &Message) {
+  if (Store.add(Message.Digest, Message.Json)) {
+    run(Pull.handle(document_arrived{Message.Digest, Context.Timers.now()}));
+    return;
+  }
+  logError("document-refused",
+           {error_kind::Protocol,
+            "VM " + Peer.str() + " sent a document with a wrong digest",
+            "look for a damaged network path or VM"});
 }
 
-void rollout_driver::confirm(revision Revision, instant At) {
-  Machine.handle(revision_confirmed{Revision, At});
-  updateFreshness(Context.Timers.now());
+void rollout_driver::run(const pull_effect &Effect) {
+  if (const auto *Ask = std::get_if<ask_manifest>(&Effect))
+    send(Ask->Peer, manifest_wanted{});
+  else if (const auto *Documents = std::get_if<ask_documents>(&Effect))
+    send(Documents->Peer, documents_wanted{Documents->Digests});
+  else if (const auto *Complete = std::get_if<pull_complete>(&Effect))
+    if (const auto Accepted = accept(Complete->Manifest); !Accepted)
+      logError("configuration-refused", Accepted.error());
 }
 
-void rollout_driver::updateFreshness(instant Now) {
-  const bool Fresh = Machine.keysAreFresh(Now);
+void rollout_driver::updateFreshness() {
+  const freshness_verdict Verdict = freshness(Context.Timers.now());
+  const bool Fresh = Verdict.fresh();
   if (Fresh == Context.Snapshots.current().KeysAreFresh)
     return;
   Context.Snapshots.update(
@@ -116,10 +273,10 @@
       {.Kind = Fresh ? decision_kind::KeysFresh : decision_kind::KeysStale,
        .Subject = subject_kind::Vm,
        .Name = Context.Self.Vm.str(),
-       .Cause = Fresh ? "the revision was confirmed"
-                      : "the revision was not confirmed in time",
-       .Evidence = "revision " + std::to_string(Machine.inForce().Value),
-       .Rule = "keyed requests need a recent confirmation"});
+       .Cause = Verdict.Evidence,
+       .Evidence = "revision " + std::to_string(inForce().Value),
+       .Rule = "keyed requests need a recent confirmation, or word from every "
+               "data centre that the platform is away"});
 }
 
 } // namespace peridot
--- a/src/transport/platform/internal/platform_client.cpp
+++ b/src/transport/platform/internal/platform_client.cpp
@@ -106,12 +106,13 @@
 
 task<result<std::optional<stored_object>>>
 platform_client::watch(std::string Name, std::uint64_t After,
-                       std::chrono::milliseconds Wait) {
+                       std::chrono::milliseconds Wait,
+                       std::chrono::milliseconds Grace) {
   platform_request Request = makeRequest(
       http::verb::get, "/objects/" + Name + "?after=" + std::to_string(After) +
                            "&wait_ms=" + std::to_string(Wait.count()));
-  co_return objectFrom(co_await exchange(
-      Loop, Options, Wait + Options.CallTimeout, std::move(Request)));
+  co_return objectFrom(
+      co_await exchange(Loop, Options, Wait + Grace, std::move(Request)));
 }
 
 task<result<std::uint64_t>> platform_client::write(std::string Name,
--- a/src/transport/platform/platform_client.h
+++ b/src/transport/platform/platform_client.h
@@ -36,8 +36,10 @@
 
   /// Waits until the object's version is above \p After; empty when that did
   /// not happen within \p Wait.
+  /// \param Grace time above \p Wait after which the platform counts as away.
   task<result<std::optional<stored_object>>>
-  watch(std::string Name, std::uint64_t After, std::chrono::milliseconds Wait);
+  watch(std::string Name, std::uint64_t After, std::chrono::milliseconds Wait,
+        std::chrono::milliseconds Grace);
 
   /// Writes an object if its version is still \p Expected and returns the new
   /// one. Conflict: another write came first. Timeout or Unavailable: the
