Tell silent connections from slow targets; count requests by outcome

A pure machine in coordination/routing judges connections by age: when reused ones time out and a younger one answers, the old group is closed and counted in peridot_connections_retired_total. Connections to a target are limited per thread. The two random choices are now always different targets and need no list of usable ones. Requests are counted per service and account by outcome and timed per route; the series are looked up once per configuration.

Seen failing while this was written: node_truncatedChunkedAnswer lost body bytes that came together with the end of the target's connection. The other new tests were written with the code and not run against the code before it.

--- a/src/coordination/routing/target_choice.h
+++ b/src/coordination/routing/target_choice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <span>
 
 #include "coordination/routing/types/routing_snapshot.h"
@@ -13,13 +14,14 @@
 struct target_candidate {
   const target *Target = nullptr;
   unsigned Outstanding = 0; ///< Requests of this VM that run there now.
+  unsigned ConnectionLimit = std::numeric_limits<unsigned>::max();
   bool SameDataCenter = false;
   bool AlreadyTried = false; ///< By this request; never chosen again.
 };
 
-/// Takes two random serving candidates and returns the less loaded, preferring
-/// the own data centre; nullptr when none may be used.
-/// \param Random uniformly distributed bits.
+/// Takes two different random serving candidates and returns the less loaded,
+/// preferring the own data centre; nullptr when none may be used. \param Random
+/// uniformly distributed bits.
 const target *chooseTarget(const routing_snapshot &Snapshot,
                            std::span<const target_candidate> Candidates,
                            std::uint64_t Random);
--- a/src/transport/callers/internal/body_relay.h
+++ b/src/transport/callers/internal/body_relay.h
@@ -66,6 +66,7 @@
 template <typename Parser, typename Serializer>
 task<relay_end> relayBody(body_copy<Parser, Serializer> Copy) {
   namespace http = boost::beast::http;
+  boost::system::error_code SourceError;
   do {
     std::size_t Size = 0;
     if (!Copy.Source.is_done()) {
@@ -73,18 +74,19 @@
                                                  Copy.Source, Copy.Space, 0);
       if (Copy.Watch.cancelled())
         co_return relay_end{relay_part::Watch, Error};
-      if (Error)
-        co_return relay_end{relay_part::Source, Error};
+      SourceError = Error;
       Size = Read;
     }
     if (Size > Copy.Allowance)
       co_return relay_end{.Failed = relay_part::Limit};
     Copy.Allowance -= Size;
+    if (Size == 0 && SourceError)
+      co_return relay_end{relay_part::Source, SourceError};
     if (Size == 0 && !Copy.Source.is_done())
       continue;
     Copy.SinkBody.data = Size > 0 ? Copy.Space.data() : nullptr;
     Copy.SinkBody.size = Size;
-    Copy.SinkBody.more = !Copy.Source.is_done();
+    Copy.SinkBody.more = SourceError || !Copy.Source.is_done();
     auto [Error, Written] =
         co_await http::async_write(Copy.To, Copy.Sink, UseTaskTuple);
     if (Error && Error != http::error::need_buffer)
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -34,6 +34,19 @@
           .Detail = std::string(Detail)};
 }
 
+request_end endOf(const relay_result &Result) {
+  if (Result.CallerLeft)
+    return request_end::Cancelled;
+  if (Result.Refusal)
+    return Result.Refusal->Outcome == request_outcome::NotRun
+               ? request_end::NotRun
+               : request_end::Unknown;
+  if (!Result.Whole)
+    return request_end::Unknown;
+  return Result.Status >= 500 ? request_end::AnsweredError
+                              : request_end::Answered;
+}
+
 refusal headTooLarge() {
   return {.Kind = refusal_kind::HeadTooLarge,
           .Detail = "the request head is larger than the limit"};
@@ -163,6 +176,9 @@
 
 task<bool> caller_session::forward(const admitted_request &Admitted,
                                    snapshot_ptr Snapshot) {
+  const request_meters Meters =
+      Worker.metersOf(Admitted, Snapshot->Configuration);
+  const instant StartedAt = bootNow();
   if (Admitted.Account) {
     const rate_decision Rate = Worker.takeRate(*Admitted.Account);
     if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
@@ -171,11 +187,13 @@
                                       Admitted.Account->Name.str() +
                                       " is above its rate",
                             .RetryAfter = Refused->RetryAfter};
+      Meters.record(request_end::RateExceeded, bootNow() - StartedAt);
       co_return co_await refuse(Refusal);
     }
   }
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
   const relay_result Result = co_await Relay.run(Admitted, *Snapshot);
+  Meters.record(endOf(Result), bootNow() - StartedAt);
   InStep = Result.KeepCaller;
   if (Result.Refusal)
     co_return co_await refuse(*Result.Refusal);
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -19,8 +21,13 @@
 constexpr std::uint32_t MaxAnswerHead = 64U << 10U;
 /// First room for a target's answer.
 constexpr std::size_t AnswerBufferBytes = 4U << 10U;
+/// Time after which sent but unacknowledged bytes end a target connection.
+constexpr std::chrono::duration<int, std::milli> UnacknowledgedLimit{5'000};
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 /// True for errors that the bytes of the other end caused.
 bool isParseError(const boost::system::error_code &Error) {
   return Error.category() ==
@@ -78,6 +85,7 @@
     observe(*Admitted.Service, *Target, Result, StartedAt);
     if (Result.Whole || CallerGotBytes || Result.CallerLeft)
       co_return relay_result{.KeepCaller = Result.Whole && mayKeepCaller(),
+                             .Whole = Result.Whole,
                              .Status = Result.Status,
                              .CallerLeft = Result.CallerLeft};
     const attempt_verdict Verdict =
@@ -123,6 +131,7 @@
     Candidates.push_back(
         {.Target = &Target,
          .Outstanding = Worker.targets().outstanding(Target.Name),
+         .ConnectionLimit = Worker.targets().limitOf(Target),
          .SameDataCenter = Target.DataCenter == Worker.options().DataCenter,
          .AlreadyTried = std::ranges::find(Tried, Target.Name) != Tried.end()});
   return chooseTarget(Snapshot, Candidates, Worker.random());
@@ -143,17 +152,14 @@
 
 void request_relay::observe(const service &Service, const target &Target,
                             const attempt_result &Result, instant StartedAt) {
-  using clock = std::chrono::steady_clock;
-  const auto Now = clock::now();
-  const duration SinceHead =
-      Result.HeadAt == clock::time_point{} ? duration{0} : Now - Result.HeadAt;
-  const duration Age = Result.ConnectedAt == clock::time_point{}
-                           ? duration{0}
-                           : Now - Result.ConnectedAt;
+  const instant Now = bootNow();
+  const instant HeadAt = Result.HeadAt == instant{} ? Now : Result.HeadAt;
+  const duration Age =
+      Result.OpenedAt == instant{} ? duration{0} : Now - Result.OpenedAt;
   Worker.observe({.Service = Service.Name,
                   .Target = Target.Name,
                   .End = endOf(Result),
-                  .Latency = bootNow() - StartedAt - SinceHead,
+                  .Latency = HeadAt - StartedAt,
                   .ReusedConnection = Result.ReusedConnection,
                   .ConnectionAge = Age,
                   .Signal = Result.Report.Draining ? target_signal::Draining
@@ -207,7 +213,7 @@
     co_return Result;
   }
   Result.ReusedConnection = Connection->Uses++ > 0;
-  Result.ConnectedAt = Connection->OpenedAt;
+  Result.OpenedAt = Connection->OpenedAt;
   Result.Progress = attempt_progress::NothingSent;
   Connection->Stream.expires_at(Deadline);
   co_await sendRequest(*Connection, Admitted, Result);
@@ -223,16 +229,29 @@
         "target " + Target.Name.str() + ": " + Result.Error.message();
   Result.Whole = !Result.Error && !Result.Cause && !Result.CallerLeft &&
                  Result.Progress == attempt_progress::AnswerStarted;
+  noteConnection(Target, Result);
   if (Reusable && !UploadCut)
-    Worker.targets().giveBack(Target.Name, std::move(Connection));
+    Worker.targets().giveBack(Target, std::move(Connection));
   co_return Result;
 }
 
+void request_relay::noteConnection(const target &Target,
+                                   const attempt_result &Result) {
+  if (Result.HeadAt != instant{})
+    Worker.noteConnection(Target.Name,
+                          connection_answered{.OpenedAt = Result.OpenedAt});
+  else if (isTimeout(Result.Error))
+    Worker.noteConnection(
+        Target.Name, connection_timed_out{.OpenedAt = Result.OpenedAt,
+                                          .Reused = Result.ReusedConnection});
+}
+
 task<target_connection_ptr> request_relay::connect(const target &Target,
                                                    bool Fresh) {
   if (!Fresh)
     if (auto Idle = Worker.targets().takeIdle(Target.Name))
       co_return Idle;
+  Worker.targets().makeRoom(Target);
   boost::system::error_code Error;
   const auto Address = asio::ip::make_address(Target.Address, Error);
   if (Error)
@@ -244,6 +263,7 @@
   if (ConnectError)
     co_return nullptr;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
+  Stream.socket().set_option(user_timeout(UnacknowledgedLimit.count()), Error);
   co_return std::make_unique<target_connection>(std::move(Stream));
 }
 
@@ -349,7 +369,7 @@
       co_return Error;
   } while (Answer->get().result() == http::status::continue_ ||
            Answer->get().result() == http::status::processing);
-  Result.HeadAt = std::chrono::steady_clock::now();
+  Result.HeadAt = bootNow();
   Result.Status = Answer->get().result_int();
   Result.Report = readTargetReport(Answer->get(), Result.Status);
   const bool TargetKeeps = Answer->get().keep_alive();
@@ -379,10 +399,10 @@
   Passed.body().size = 0;
   Passed.body().more = !Answer.is_done();
   http::response_serializer<http::buffer_body> Serializer(Passed);
-  CallerGotBytes = true;
   Caller.expires_at(Deadline);
   // Body bytes that came with the head go out with it.
   if (Answer.is_done() || Buffer.size() == 0) {
+    CallerGotBytes = true;
     auto [Error, Written] =
         co_await http::async_write_header(Caller, Serializer, UseTaskTuple);
     if (Error || Answer.is_done())
@@ -400,6 +420,8 @@
       .Space = *Space,
       .Watch = Watch};
   const relay_end End = co_await relayBody(Copy);
+  CallerGotBytes =
+      Serializer.is_header_done() || End.Failed == relay_part::Sink;
   Result.CallerLeft = End.Failed == relay_part::Sink;
   co_return End.Error;
 }
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -19,6 +19,7 @@
   /// True when the whole request was read, so that the caller's connection can
   /// carry another.
   bool KeepCaller = false;
+  bool Whole = false;      ///< The whole answer was passed on.
   unsigned Status = 0;     ///< Of the answer passed on; 0: none.
   bool CallerLeft = false; ///< The caller went away first.
 };
@@ -48,8 +49,8 @@
     std::optional<refusal_kind> Cause;
     std::string Detail;
     target_report Report;
-    std::chrono::steady_clock::time_point ConnectedAt{};
-    std::chrono::steady_clock::time_point HeadAt{};
+    instant OpenedAt{}; ///< When the connection was opened.
+    instant HeadAt{};   ///< When the answer's head came.
   };
 
   const target *choose(const admitted_request &Admitted,
@@ -64,6 +65,8 @@
   task<attempt_result> attempt(const target &Target,
                                const admitted_request &Admitted);
   task<target_connection_ptr> connect(const target &Target, bool Fresh);
+  /// Tells the pool whether the connection works.
+  void noteConnection(const target &Target, const attempt_result &Result);
   /// Sends head and body; the result tells how far it got.
   task<void> sendRequest(target_connection &Connection,
                          const admitted_request &Admitted,
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include "transport/callers/internal/caller_session.h"
+#include "transport/logging/event_log.h"
 
 namespace peridot {
 
@@ -23,8 +24,9 @@
 traffic_worker::traffic_worker(traffic_options Chosen,
                                metrics_registry &Metrics,
                                const std::string &ThreadName)
-    : Options(std::move(Chosen)), Metrics(Metrics), Loop(ThreadName),
-      Acceptor(Loop.context()), Timers(Loop.context()) {}
+    : Options(std::move(Chosen)), Metrics(Metrics), Targets(Options.Pool),
+      Meters(Metrics), Loop(ThreadName), Acceptor(Loop.context()),
+      Timers(Loop.context()) {}
 
 traffic_worker::~traffic_worker() { Loop.stop(); }
 
@@ -65,6 +67,21 @@
     Hooks.Observe(std::exchange(Observations, {}));
 }
 
+void traffic_worker::noteConnection(const target_name &Target,
+                                    const connection_event &Event) {
+  const std::size_t Retired = Targets.note(Target, Event);
+  if (Retired == 0)
+    return;
+  Metrics
+      .counterOf("peridot_connections_retired_total",
+                 "target=\"" + Target.str() + "\"")
+      .add(Retired);
+  logEvent(log_level::Warning, "connections-retired",
+           {{"target", Target.view()},
+            {"connections", static_cast<std::int64_t>(Retired)},
+            {"cause", "old connections time out while new ones answer"}});
+}
+
 void traffic_worker::publish(snapshot_ptr Published) {
   asio::post(Loop.context(), [this, Next = std::move(Published)]() mutable {
     Snapshot = std::move(Next);
@@ -74,6 +91,7 @@
 void traffic_worker::beginShutdown() {
   asio::post(Loop.context(), [this] {
     ShuttingDown = true;
+    acceptWaiting();
     boost::system::error_code Ignored;
     Acceptor.close(Ignored);
   });
@@ -88,20 +106,35 @@
                  [this](const std::exception_ptr &) { --TurningAway; });
 }
 
+void traffic_worker::serve(tcp_socket Socket) {
+  if (Connections >= Options.Limits.MaxConnections) {
+    turnAway(std::move(Socket));
+    return;
+  }
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  connectionOpened();
+  asio::co_spawn(Loop.context(),
+                 caller_session::serve(*this, tcp_stream(std::move(Socket))),
+                 asio::detached);
+}
+
+void traffic_worker::acceptWaiting() {
+  boost::system::error_code Error;
+  Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp_socket Socket(Loop.context());
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      serve(std::move(Socket));
+  }
+}
+
 task<void> traffic_worker::acceptCallers() {
   while (Acceptor.is_open()) {
     auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
-    if (Error)
-      continue;
-    if (Connections >= Options.Limits.MaxConnections) {
-      turnAway(std::move(Socket));
-      continue;
-    }
-    Socket.set_option(asio::ip::tcp::no_delay(true), Error);
-    connectionOpened();
-    asio::co_spawn(Loop.context(),
-                   caller_session::serve(*this, tcp_stream(std::move(Socket))),
-                   asio::detached);
+    if (!Error)
+      serve(std::move(Socket));
   }
 }
 
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -12,6 +12,7 @@
 #include "coordination/routing/types/routing_snapshot.h"
 #include "state/base/types/error.h"
 #include "state/metrics/metrics_registry.h"
+#include "transport/callers/request_meters.h"
 #include "transport/runtime/event_loop.h"
 #include "transport/runtime/timer_service.h"
 #include "transport/targets/target_pool.h"
@@ -32,6 +33,7 @@
   data_center_name DataCenter;
   caller_limits Limits;
   std::chrono::seconds AddressTimeToLive{10};
+  target_pool_options Pool;
 };
 
 /// How a traffic thread asks and tells the rest of the node.
@@ -80,6 +82,13 @@
   const traffic_options &options() const { return Options; }
   metrics_registry &metrics() { return Metrics; }
   target_pool &targets() { return Targets; }
+  /// Series of requests like \p Admitted, which points into \p Configuration.
+  request_meters metersOf(const admitted_request &Admitted,
+                          const configuration_ptr &Configuration) {
+    return Meters.of(Admitted, Configuration);
+  }
+  /// Learns how a request on a connection to a target ended.
+  void noteConnection(const target_name &Target, const connection_event &Event);
   boost::asio::io_context &loop() { return Loop.context(); }
   std::uint64_t random() { return Random(); }
   bool shuttingDown() const { return ShuttingDown; }
@@ -91,7 +100,11 @@
   static constexpr std::size_t MaxTurningAway = 256;
 
   task<void> acceptCallers();
+  void serve(tcp_socket Socket);
   void turnAway(tcp_socket Socket);
+  /// Takes the connections that the system accepted already; closing the
+  /// listener would reset them.
+  void acceptWaiting();
   void handOverObservations();
 
   traffic_options Options;
@@ -100,6 +113,7 @@
   std::vector<attempt_observation> Observations;
   snapshot_ptr Snapshot = std::make_shared<routing_snapshot>();
   target_pool Targets;
+  request_meter_cache Meters;
   std::mt19937_64 Random{std::random_device{}()};
   std::atomic<std::size_t> Connections{0};
   std::size_t TurningAway = 0;
--- a/src/transport/targets/internal/target_pool.cpp
+++ b/src/transport/targets/internal/target_pool.cpp
@@ -1,5 +1,7 @@
 #include "transport/targets/target_pool.h"
 
+#include <algorithm>
+
 namespace peridot {
 
 namespace {
@@ -23,13 +25,20 @@
   return slot_guard(Entries[Name].Outstanding);
 }
 
+unsigned target_pool::limitOf(const target &Target) const {
+  return Options.ConnectionShare == 0
+             ? Target.MaxConnections
+             : std::min(Options.ConnectionShare, Target.MaxConnections);
+}
+
 target_connection_ptr target_pool::takeIdle(const target_name &Name) {
   const auto Found = Entries.find(Name);
   if (Found == Entries.end())
     return nullptr;
   auto &Idle = Found->second.Idle;
-  const auto Now = std::chrono::steady_clock::now();
-  while (!Idle.empty()) {
+  const instant Now = bootNow();
+  while (!Idle.empty() &&
+         !Found->second.Silence.isSuspect(Idle.back()->OpenedAt)) {
     target_connection_ptr Connection = std::move(Idle.back());
     Idle.pop_back();
     if (Now - Connection->IdleSince < IdleLimit &&
@@ -39,10 +48,32 @@
   return nullptr;
 }
 
-void target_pool::giveBack(const target_name &Name,
+void target_pool::makeRoom(const target &Target) {
+  pool_entry &Entry = Entries[Target.Name];
+  if (!Entry.Idle.empty() &&
+      Entry.Outstanding + Entry.Idle.size() > limitOf(Target))
+    Entry.Idle.erase(Entry.Idle.begin());
+}
+
+void target_pool::giveBack(const target &Target,
                            target_connection_ptr Connection) {
-  Connection->IdleSince = std::chrono::steady_clock::now();
-  Entries[Name].Idle.push_back(std::move(Connection));
+  pool_entry &Entry = Entries[Target.Name];
+  // The request that had the connection still occupies its slot.
+  if (Entry.Outstanding + Entry.Idle.size() > limitOf(Target))
+    return;
+  Connection->IdleSince = bootNow();
+  Entry.Idle.push_back(std::move(Connection));
+}
+
+std::size_t target_pool::note(const target_name &Name,
+                              const connection_event &Event) {
+  pool_entry &Entry = Entries[Name];
+  const auto RetireUntil = Entry.Silence.handle(Event);
+  if (!RetireUntil)
+    return 0;
+  return std::erase_if(Entry.Idle, [&](const target_connection_ptr &Each) {
+    return Each->OpenedAt <= *RetireUntil;
+  });
 }
 
 void target_pool::dropIdle(const target_name &Name) {
--- a/src/transport/targets/target_pool.h
+++ b/src/transport/targets/target_pool.h
@@ -7,8 +7,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/routing/silent_connections.h"
 #include "coordination/routing/target_choice.h"
 #include "transport/runtime/asio_types.h"
+#include "transport/runtime/timer_service.h"
 
 namespace peridot {
 
@@ -18,9 +20,8 @@
 
   tcp_stream Stream;
   unsigned Uses = 0; ///< Requests that were sent on it.
-  std::chrono::steady_clock::time_point OpenedAt =
-      std::chrono::steady_clock::now();
-  std::chrono::steady_clock::time_point IdleSince{};
+  instant OpenedAt = bootNow();
+  instant IdleSince{};
 };
 
 using target_connection_ptr = std::unique_ptr<target_connection>;
@@ -41,29 +42,49 @@
   unsigned *Count;
 };
 
+/// Settings of a pool.
+struct target_pool_options {
+  /// Most connections of this thread to one target, running and idle; 0: what
+  /// the target allows.
+  unsigned ConnectionShare = 0;
+};
+
 /// Keeps idle connections and counts what runs, per target.
 class target_pool {
 public:
   /// Longest time that an idle connection is kept.
   static constexpr std::chrono::seconds IdleLimit{30};
 
+  explicit target_pool(target_pool_options Options) : Options(Options) {}
+
   /// Requests of this thread that run at a target now.
   unsigned outstanding(const target_name &Name) const;
+  /// Connections that this thread may have to a target.
+  unsigned limitOf(const target &Target) const;
   [[nodiscard]] slot_guard occupySlot(const target_name &Name);
 
   /// Takes an idle connection; null when there is none.
   target_connection_ptr takeIdle(const target_name &Name);
+  /// Closes an idle connection if a further one would be above the limit. The
+  /// slot of the request that needs it was occupied before.
+  void makeRoom(const target &Target);
   /// Gives back a connection whose last answer was read whole.
-  void giveBack(const target_name &Name, target_connection_ptr Connection);
+  void giveBack(const target &Target, target_connection_ptr Connection);
   /// Drops idle connections to a target.
   void dropIdle(const target_name &Name);
+  /// Learns how a request on a connection ended, and closes idle connections
+  /// that are found silent.
+  /// \returns how many were closed.
+  std::size_t note(const target_name &Name, const connection_event &Event);
 
 private:
   struct pool_entry {
     unsigned Outstanding = 0;
-    std::vector<target_connection_ptr> Idle;
+    std::vector<target_connection_ptr> Idle; ///< Longest idle first.
+    silent_connection_detector Silence;
   };
 
+  target_pool_options Options;
   std::unordered_map<target_name, pool_entry> Entries;
 };
 
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -67,6 +67,21 @@
   return toAnswer(Parser.get());
 }
 
+void http_connection::send(const std::string &Bytes) {
+  boost::system::error_code Ignored;
+  asio::write(Impl->Socket, asio::buffer(Bytes), Ignored);
+}
+
+http_answer http_connection::receive() {
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(boost::none);
+  boost::system::error_code Error;
+  http::read(Impl->Socket, Impl->Buffer, Parser, Error);
+  if (Error)
+    return {.Error = Error.message()};
+  return toAnswer(Parser.get());
+}
+
 std::string http_connection::sendRaw(const std::string &Bytes) {
   boost::system::error_code Error;
   asio::write(Impl->Socket, asio::buffer(Bytes), Error);
--- a/tests/support/http_client.h
+++ b/tests/support/http_client.h
@@ -38,6 +38,10 @@
   ~http_connection();
 
   http_answer call(const http_call &Call);
+  /// Sends bytes as they are.
+  void send(const std::string &Bytes);
+  /// Reads the answer to a request that was sent.
+  http_answer receive();
   /// Sends bytes as they are and returns all that comes until the other side
   /// closes or a limit passes.
   std::string sendRaw(const std::string &Bytes);
