--- a/src/coordination/routing/target_choice.h
+++ b/src/coordination/routing/target_choice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <span>
 
 #include "coordination/routing/types/routing_snapshot.h"
@@ -13,6 +14,7 @@
 struct target_candidate {
   const target *Target = nullptr;
   unsigned Outstanding = 0; ///< Requests of this VM that run there now.
+  unsigned ConnectionLimit = std::numeric_limits<unsigned>::max();
   bool SameDataCenter = false;
   bool AlreadyTried = false; ///< By this request; never chosen again.
 };
@@ -20,8 +22,8 @@
 /// One in this many repeatable requests goes to a target on trial.
 inline constexpr std::uint64_t TrialInterval = 32;
 
-/// Takes two random serving candidates and returns the less loaded, preferring
-/// the own data centre; nullptr when none may be used.
+/// Takes two different random serving candidates and returns the less loaded,
+/// preferring the own data centre; nullptr when none may be used.
 /// \param Random uniformly distributed bits.
 /// \param MayTry true for a repeatable request, of which a trickle goes to
 ///        targets on trial.
