--- /dev/null
+++ b/src/coordination/limits/tests/envelope_test.cpp
@@ -0,0 +1,98 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "support/limits_schedule.h"
+
+using namespace peridot;
+using namespace peridot::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Rounding of sums over doubles, in tokens.
+constexpr double Rounding = 1e-6;
+
+/// A number from the whole range also in the first, small cases.
+template <typename T> T pick(T From, T Below) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<T>(From, Below));
+}
+
+struct envelope_fixture {
+  static std::vector<owner_term> randomTerms(std::size_t VmCount,
+                                             duration Length) {
+    std::vector<owner_term> Terms;
+    duration From = pick(0, 500) * 1ms;
+    while (From < Length) {
+      const duration Span = pick(200, 9'000) * 1ms;
+      Terms.push_back({.Vm = pick<std::size_t>(0, VmCount),
+                       .From = From,
+                       .Until = From + Span});
+      From += Span + pick(0, 3'000) * 1ms;
+    }
+    return Terms;
+  }
+
+  static schedule_options randomOptions(duration Length) {
+    schedule_options Options;
+    Options.VmCount = pick<std::size_t>(1, 6);
+    Options.Rate = pick(1, 60);
+    Options.Burst = pick(1, 40);
+    Options.LossPart = pick(0, 3) == 0 ? pick(0, 40) / 100.0 : 0;
+    Options.DuplicatePart = pick(0, 40) / 100.0;
+    Options.MostDelay = pick(0, 3) == 0 ? pick(3, 1'500) * 1ms : 5ms;
+    Options.MostClockDrift = 4e-4;
+    Options.Lending.MainTerm = 2s;
+    Options.Lending.ReserveTerm = 5s;
+    Options.Lending.ReserveFraction = pick(0, 50) / 100.0;
+    Options.Terms = randomTerms(Options.VmCount, Length);
+    Options.Seed = *rc::gen::arbitrary<unsigned>();
+    return Options;
+  }
+
+  /// A fault at one VM, as often as not none.
+  static void disturb(limits_schedule &Schedule, std::size_t VmCount) {
+    const auto Vm = pick<std::size_t>(0, VmCount);
+    const duration Span = pick(100, 4'000) * 1ms;
+    switch (pick(0, 8)) {
+    case 0:
+      return Schedule.pause(Vm, Span);
+    case 1:
+      return Schedule.restart(Vm);
+    case 2:
+      return Schedule.cutOff(Vm, Schedule.now() + Span);
+    default:
+      return;
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(envelope_fixture, "fleet_randomFaults_neverAboveEnvelope") {
+  const bool Held = rc::check("admitted <= burst + rate * w", [] {
+    constexpr duration Length = 40s;
+    const schedule_options Options = randomOptions(Length);
+    limits_schedule Schedule(Options);
+    single_bucket Envelope(Options.Rate, Options.Burst);
+    double Least = 0;
+    std::size_t Admitted = 0;
+    while (Schedule.now() < Length) {
+      Schedule.advanceTo(Schedule.now() + pick(5, 800) * 1ms);
+      disturb(Schedule, Options.VmCount);
+      // Demand gathers at some VMs, comes in bursts and pauses.
+      const auto Busy = pick<std::size_t>(0, Options.VmCount + 1);
+      const int Requests = Busy == 0 ? 0 : pick(0, 90);
+      for (int Request = 0; Request < Requests; ++Request) {
+        const auto Vm = static_cast<std::size_t>(Schedule.uniform() *
+                                                 static_cast<double>(Busy));
+        if (!Schedule.request(Vm))
+          continue;
+        ++Admitted;
+        Least = std::min(Least, Envelope.charge(Schedule.now()));
+      }
+    }
+    RC_CLASSIFY(Admitted > 0, "something was admitted");
+    RC_ASSERT(Least >= -Rounding);
+  });
+  CHECK(Held);
+}
