--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/membership_driver.h"
 #include "transport/node/internal/operator_pages.h"
+#include "transport/node/internal/ownership_driver.h"
 #include "transport/node/internal/rollout_driver.h"
 #include "transport/node/internal/vm_list_driver.h"
 #include "transport/operators/operator_server.h"
@@ -68,7 +70,9 @@
   ownership_view Ownership;
   control_context Context;
   rollout_driver Rollout{Context};
-  vm_list_driver VmList{Context};
+  membership_driver Membership{Context};
+  vm_list_driver VmList{Context, Membership};
+  ownership_driver OwnershipDriver{Context};
   operator_pages Pages{Context};
   operator_server Operators;
 };
@@ -125,7 +129,9 @@
   asio::post(Control.context(), [this] {
     Peers.start();
     Operators.start();
+    Membership.start();
     VmList.start();
+    OwnershipDriver.start();
     Rollout.start();
   });
 }
