--- a/src/coordination/limits/share_directory.h
+++ b/src/coordination/limits/share_directory.h
@@ -17,6 +17,9 @@
   /// Takes one request off the main share, or else off the reserve.
   rate_decision take(instant Now);
 
+  /// True if the main share has not ended.
+  bool mainValidAt(instant Now) const { return Main.validAt(Now); }
+
   share_bucket &bucketOf(pool_kind Pool) {
     return Pool == pool_kind::Main ? Main : Reserve;
   }
--- /dev/null
+++ b/src/protocol/limits_messages/limits_codec.h
@@ -0,0 +1,22 @@
+/// \file
+/// Encoding of the messages by which shares of accounts' limits are lent.
+#pragma once
+
+#include <variant>
+
+#include "coordination/limits/types/lending_messages.h"
+#include "protocol/peer_frames/types/peer_frame.h"
+#include "state/base/types/error.h"
+
+namespace peridot {
+
+using limits_message = std::variant<share_request_batch, share_grant_batch>;
+
+/// Encodes a message as the body of a frame.
+std::vector<std::byte> encodeLimitsMessage(const limits_message &Message);
+
+/// Decodes the body of a frame. Fails with Protocol when it is malformed or
+/// holds a number that is not finite.
+result<limits_message> decodeLimitsMessage(bytes_view Body);
+
+} // namespace peridot
--- /dev/null
+++ b/src/transport/node/internal/limits_driver.h
@@ -0,0 +1,42 @@
+/// \file
+/// Connects the lending and borrowing machines to peers, configuration and
+/// traffic threads.
+#pragma once
+
+#include "coordination/limits/borrowing_machine.h"
+#include "coordination/limits/lending_machine.h"
+#include "protocol/limits_messages/limits_codec.h"
+#include "transport/node/control_context.h"
+
+namespace peridot {
+
+/// Runs on the control thread, except for takeRate().
+class limits_driver {
+public:
+  explicit limits_driver(control_context &Context);
+
+  void start();
+  /// Takes one request off the account's shares. Thread-safe.
+  rate_decision takeRate(const client_account &Account);
+
+private:
+  void poll(instant Now);
+  void followConfiguration(instant Now);
+  void followMembers();
+  void send(const vm_name &Peer, const limits_message &Message);
+  void receive(const vm_incarnation &Sender, bytes_view Body);
+  void handle(const vm_incarnation &Sender, const share_request_batch &Batch);
+  void handle(const vm_incarnation &Sender, const share_grant_batch &Batch);
+
+  control_context &Context;
+  lending_options Options;
+  share_directory Directory;
+  lending_machine Lender;
+  borrowing_machine Borrower;
+  configuration_ptr Configured;
+  std::vector<vm_name> Placed; ///< VMs by which homes were chosen.
+  counter &Refused;
+  timer_subscription PollTimer;
+};
+
+} // namespace peridot
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/limits_driver.h"
 #include "transport/node/internal/membership_driver.h"
 #include "transport/node/internal/operator_pages.h"
 #include "transport/node/internal/ownership_driver.h"
@@ -73,6 +74,7 @@
   membership_driver Membership{Context};
   vm_list_driver VmList{Context, Membership};
   ownership_driver OwnershipDriver{Context};
+  limits_driver Limits{Context};
   operator_pages Pages{Context};
   operator_server Operators;
 };
@@ -124,14 +126,19 @@
 }
 
 void node::parts::startDrivers() {
-  for (const auto &Worker : Workers)
+  for (const auto &Worker : Workers) {
+    Worker->setHooks({.TakeRate = [this](const client_account &Account) {
+      return Limits.takeRate(Account);
+    }});
     Worker->start();
+  }
   asio::post(Control.context(), [this] {
     Peers.start();
     Operators.start();
     Membership.start();
     VmList.start();
     OwnershipDriver.start();
+    Limits.start();
     Rollout.start();
   });
 }
