--- a/src/coordination/health/evidence_collector.h
+++ b/src/coordination/health/evidence_collector.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <span>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "coordination/health/types/attempt_observation.h"
@@ -44,8 +43,8 @@
   /// True for targets that are reported even when they do well.
   using trial_check = std::function<bool(const target_name &)>;
 
-  explicit evidence_collector(collector_options Options = {})
-      : Options(Options) {}
+  evidence_collector() = default;
+  explicit evidence_collector(collector_options Options) : Options(Options) {}
 
   /// Takes in attempts; \returns targets that newly said that they leave.
   std::vector<attempt_observation>
@@ -66,8 +65,9 @@
     std::uint64_t Requests = 0;
     std::uint64_t Bad = 0;
     bool Due = false;
-    std::unordered_map<target_name, target_counts> Targets;
-    std::unordered_set<target_name> Departing;
+    /// Counts since a target's first bad request, so that a late report of
+    /// several bad requests also tells the good ones between them.
+    std::unordered_map<target_name, target_counts> Departing;
   };
 
   void count(service_counts &Counts, const attempt_observation &Attempt,
--- a/src/coordination/health/internal/evidence_collector.cpp
+++ b/src/coordination/health/internal/evidence_collector.cpp
@@ -71,16 +71,17 @@
 void evidence_collector::count(service_counts &Counts,
                                const attempt_observation &Attempt,
                                bool OnTrial) {
-  target_counts &Target = Counts.Targets[Attempt.Target];
   const bool Failed = isFailure(Attempt.End);
   const bool Slow = !Failed && Counts.Usual.observe(Attempt.Latency);
   ++Counts.Requests;
+  Counts.Bad += Failed || Slow ? 1 : 0;
+  if (!Failed && !Slow && !OnTrial &&
+      !Counts.Departing.contains(Attempt.Target))
+    return;
+  target_counts &Target = Counts.Departing[Attempt.Target];
   ++Target.Requests;
   Target.Failures += Failed ? 1 : 0;
   Target.Slow += Slow ? 1 : 0;
-  Counts.Bad += Failed || Slow ? 1 : 0;
-  if (Failed || Slow || OnTrial)
-    Counts.Departing.insert(Attempt.Target);
 }
 
 void evidence_collector::reportAll() {
@@ -127,10 +128,9 @@
   service_report Report{.Service = Name,
                         .Period = Now - Counts.Since,
                         .Requests = Counts.Requests};
-  for (const target_name &Target : Counts.Departing) {
-    target_counts Reported = Counts.Targets.at(Target);
-    Reported.Target = targetIdOf(Target);
-    Report.Targets.push_back(Reported);
+  for (auto &[Target, Seen] : Counts.Departing) {
+    Seen.Target = targetIdOf(Target);
+    Report.Targets.push_back(Seen);
   }
   Counts = service_counts{.Usual = Counts.Usual, .Since = Now};
   return Report;
--- a/src/coordination/health/internal/health_coordinator.cpp
+++ b/src/coordination/health/internal/health_coordinator.cpp
@@ -78,8 +78,7 @@
 
 service_health health_coordinator::freshDetector(const service &Service,
                                                  instant Now) const {
-  service_health Detector(
-      {.Detection = detectionFor(Service.Ejection), .Readmission = {}});
+  service_health Detector(service_health_options{});
   Detector.configure(Service, Now);
   if (const service_verdicts *Held = Store.find(Service.Name))
     Detector.adopt(*Held, Now);
--- a/src/coordination/health/internal/service_health.cpp
+++ b/src/coordination/health/internal/service_health.cpp
@@ -24,7 +24,7 @@
 health_decisions service_health::configure(const service &Declared,
                                            instant Now) {
   FloorPercent = Declared.FloorPercent;
-  Options.Detection = detectionFor(Declared.Ejection);
+  Detection = Options.Detection.value_or(detectionFor(Declared.Ejection));
   std::vector<target_record> Known = std::exchange(Targets, {});
   for (const target &Target : Declared.Targets) {
     const auto Found =
@@ -124,7 +124,7 @@
   for (std::size_t Index = 0; Index < Targets.size(); ++Index) {
     target_record &Target = Targets[Index];
     const peer_shares Peers = peersOf(Target, OfTargets[Index], Period, Recent);
-    Target.Evidence.score(Options.Detection, Samples[Index], Peers);
+    Target.Evidence.score(Detection, Samples[Index], Peers);
     if (Target.State == verdict_state::Trial)
       Target.TrialGood += OfTargets[Index].Requests -
                           OfTargets[Index].Failures - OfTargets[Index].Slow;
@@ -146,7 +146,7 @@
       continue;
     request_sample &Sample = Samples[From];
     Sample.Requests = std::max(Rate * Seconds / static_cast<double>(Sharing),
-                               Sample.Failures + Sample.Slow);
+                               Sample.Requests);
   }
   return Samples;
 }
@@ -159,7 +159,6 @@
   Now -= OfTarget;
   request_sample Lately = Recent;
   Lately -= Target.Evidence.recent();
-  const detection_options &Detection = Options.Detection;
   return {.Failures = std::max(
               shareOf(Now.Failures, Now.Requests, Detection.Failures.Healthy),
               shareOf(Lately.Failures, Lately.Requests,
--- a/src/coordination/health/internal/service_verdict_rules.cpp
+++ b/src/coordination/health/internal/service_verdict_rules.cpp
@@ -47,7 +47,7 @@
 
 void service_health::judgeServing(target_record &Target, instant Now) {
   expireAvoidance(Target, Now);
-  const double Threshold = Options.Detection.Threshold;
+  const double Threshold = Detection.Threshold;
   if (Target.Relapses > 0 &&
       Now - Target.Since > Options.Readmission.ForgetRelapseAfter)
     Target.Relapses = 0;
@@ -67,7 +67,6 @@
 }
 
 bool service_health::isAccused(const target_record &Target) const {
-  const detection_options &Detection = Options.Detection;
   const auto Observing = Rates.byDataCenter().size();
   const double Confirming = Detection.Threshold * Detection.ConfirmShare;
   const auto Accuses = [&](const evidence_channel &Channel) {
@@ -87,19 +86,19 @@
 }
 
 bool service_health::passesSecondLook(target_record &Target) {
-  if (Options.Detection.SecondLook == 0)
+  if (Detection.SecondLook == 0)
     return true;
   if (!Target.Suspected) {
     Target.Suspected = true;
     Target.Evidence.beginSecondLook();
     return false;
   }
-  return Target.Evidence.secondLook() >= Options.Detection.SecondLook;
+  return Target.Evidence.secondLook() >= Detection.SecondLook;
 }
 
 void service_health::judgeTrial(target_record &Target, instant Now) {
   const readmission_options &Rules = Options.Readmission;
-  if (Target.Evidence.fused() >= Options.Detection.Threshold * HalfThreshold) {
+  if (Target.Evidence.fused() >= Detection.Threshold * HalfThreshold) {
     const verdict_evidence Evidence = evidenceOf(Target);
     Target.enter(verdict_state::Ejected, Now);
     ++Target.Relapses;
@@ -219,7 +218,7 @@
     return Requests > 0 ? Bad / Requests : 0;
   };
   return {.Score = Score,
-          .Threshold = Options.Detection.Threshold,
+          .Threshold = Detection.Threshold,
           .FailureShare = Share(Own.Failures, Own.Requests),
           .SlowShare = Share(Own.Slow, Own.Requests),
           .PeerFailureShare = Share(Others.Failures, Others.Requests)};
--- a/src/coordination/health/service_health.h
+++ b/src/coordination/health/service_health.h
@@ -75,6 +75,7 @@
   health_decisions finish();
 
   service_health_options Options;
+  detection_options Detection;
   unsigned FloorPercent = 0;
   bool Configured = false;
   std::vector<target_record> Targets;
--- a/src/coordination/health/types/health_options.h
+++ b/src/coordination/health/types/health_options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 #include "state/base/types/instant.h"
 #include "state/configuration/types/fleet_configuration.h"
@@ -51,7 +52,8 @@
 
 /// Settings of the detector of one service.
 struct service_health_options {
-  detection_options Detection;
+  /// Takes the place of what the service's mode stands for.
+  std::optional<detection_options> Detection;
   readmission_options Readmission;
 };
 
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/health_driver.h"
 #include "transport/node/internal/operator_pages.h"
 #include "transport/node/internal/rollout_driver.h"
 #include "transport/node/internal/vm_list_driver.h"
@@ -69,6 +70,7 @@
   control_context Context;
   rollout_driver Rollout{Context};
   vm_list_driver VmList{Context};
+  health_driver Health{Context};
   operator_pages Pages{Context};
   operator_server Operators;
 };
@@ -120,13 +122,20 @@
 }
 
 void node::parts::startDrivers() {
-  for (const auto &Worker : Workers)
+  traffic_hooks Hooks;
+  Hooks.Observe = [this](std::vector<attempt_observation> Attempts) {
+    Health.handOver(std::move(Attempts));
+  };
+  for (const auto &Worker : Workers) {
+    Worker->setHooks(Hooks);
     Worker->start();
+  }
   asio::post(Control.context(), [this] {
     Peers.start();
     Operators.start();
     VmList.start();
     Rollout.start();
+    Health.start();
   });
 }
 
