--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/health_driver.h"
 #include "transport/node/internal/limits_driver.h"
 #include "transport/node/internal/membership_driver.h"
 #include "transport/node/internal/operator_pages.h"
@@ -75,6 +76,7 @@
   vm_list_driver VmList{Context, Membership};
   ownership_driver OwnershipDriver{Context};
   limits_driver Limits{Context};
+  health_driver Health{Context};
   operator_pages Pages{Context};
   operator_server Operators;
 };
@@ -126,10 +128,15 @@
 }
 
 void node::parts::startDrivers() {
+  traffic_hooks Hooks;
+  Hooks.TakeRate = [this](const client_account &Account) {
+    return Limits.takeRate(Account);
+  };
+  Hooks.Observe = [this](std::vector<attempt_observation> Attempts) {
+    Health.handOver(std::move(Attempts));
+  };
   for (const auto &Worker : Workers) {
-    Worker->setHooks({.TakeRate = [this](const client_account &Account) {
-      return Limits.takeRate(Account);
-    }});
+    Worker->setHooks(Hooks);
     Worker->start();
   }
   asio::post(Control.context(), [this] {
@@ -140,6 +147,7 @@
     OwnershipDriver.start();
     Limits.start();
     Rollout.start();
+    Health.start();
   });
 }
 
