--- a/apps/peridotctl/command_line.cpp
+++ b/apps/peridotctl/command_line.cpp
@@ -24,6 +24,8 @@
     "  peridotctl check DIR            check the service files of a folder\n"
     "  peridotctl publish DIR          put the folder's files in force\n"
     "  peridotctl keys digest          digest of the key on standard input\n"
+    "  peridotctl keys add|revoke ACCOUNT DIGEST\n"
+    "                                  change one key; safe to repeat\n"
     "  peridotctl status               state of the node given by --node\n\n"
     "Every flag is also read from PERIDOT_<FLAG>. Exit codes: 0 success,\n"
     "1 negative answer, 2 wrong usage or file, 3 conflict, 4 unreachable.";
--- a/apps/peridotport/main.cpp
+++ b/apps/peridotport/main.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  const auto Settings = peridot::readSettings(Argc, Argv);
+  auto Settings = peridot::readSettings(Argc, Argv);
   if (!Settings) {
     for (const std::string &Fault : Settings.error())
       std::cerr << "peridotport: " << Fault << '\n';
@@ -45,6 +45,8 @@
   pthread_sigmask(SIG_BLOCK, &StopSignals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   peridot::startEventLog(Argv[0]);
+  // An operator's wish to drain takes the same way as SIGTERM.
+  Settings->OnDrain = [] { kill(getpid(), SIGTERM); };
   peridot::node Node(*Settings);
   const auto Ports = Node.start();
   if (!Ports) {
--- a/src/coordination/publishing/publish_plan.h
+++ b/src/coordination/publishing/publish_plan.h
@@ -16,6 +16,7 @@
   std::string Author;
   std::string Reason;
   std::vector<manifest_entry> Documents;
+  std::vector<key_digest> Keys; ///< Of all accounts in the documents.
 };
 
 /// The request is in force already; nothing is to be written.
@@ -28,7 +29,13 @@
   configuration_manifest Manifest;
 };
 
-using publish_plan = std::variant<already_published, manifest_to_write>;
+/// A document lists a key that was revoked; nothing is to be written.
+struct revoked_key_listed {
+  key_digest Digest;
+};
+
+using publish_plan =
+    std::variant<already_published, manifest_to_write, revoked_key_listed>;
 
 /// \param Current the manifest in force; empty before the first publish.
 publish_plan planPublish(const std::optional<configuration_manifest> &Current,
--- a/src/coordination/publishing/tests/publish_plan_test.cpp
+++ b/src/coordination/publishing/tests/publish_plan_test.cpp
@@ -16,3 +16,15 @@
   CHECK(std::get<manifest_to_write>(planPublish(Current, {.PublishId = "b"}))
             .Manifest.Revision == revision{5});
 }
+
+TEST_CASE("planPublish_revokedKeyListed_nothingWritten") {
+  const configuration_manifest Current{.Revision = {4},
+                                       .RevokedKeys = {key_digest("k1")}};
+  const auto Refused =
+      planPublish(Current, {.PublishId = "b", .Keys = {key_digest("k1")}});
+  CHECK(std::get<revoked_key_listed>(Refused).Digest == key_digest("k1"));
+  const auto Plan =
+      planPublish(Current, {.PublishId = "b", .Keys = {key_digest("k2")}});
+  CHECK(std::get<manifest_to_write>(Plan).Manifest.RevokedKeys ==
+        Current.RevokedKeys);
+}
--- a/src/coordination/rollout/freshness_machine.h
+++ b/src/coordination/rollout/freshness_machine.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "coordination/membership/types/membership_view.h"
@@ -57,6 +58,9 @@
 
 enum class freshness_basis { Confirmed, PlatformAway, Stale };
 
+/// Stable text of a basis, as used in status and logs.
+std::string_view nameOf(freshness_basis Basis);
+
 /// Why keys are fresh, or are not.
 struct freshness_verdict {
   freshness_basis Basis = freshness_basis::Stale;
--- a/src/coordination/rollout/internal/freshness_machine.cpp
+++ b/src/coordination/rollout/internal/freshness_machine.cpp
@@ -39,6 +39,18 @@
   return {rendezvousWeight("data-center", DataCenter.view()) & NumberMask};
 }
 
+std::string_view nameOf(freshness_basis Basis) {
+  switch (Basis) {
+  case freshness_basis::Confirmed:
+    return "confirmed";
+  case freshness_basis::PlatformAway:
+    return "platform-away";
+  case freshness_basis::Stale:
+    return "stale";
+  }
+  return "unknown";
+}
+
 void freshness_machine::handle(const freshness_event &Event) {
   std::visit([this](const auto &E) { accept(E); }, Event);
 }
@@ -89,6 +101,8 @@
     return {freshness_basis::Stale, "revision " +
                                         std::to_string(HighestHeard.Value) +
                                         " exists and is not here yet"};
+  if (Question.Members.empty())
+    return {freshness_basis::Stale, "the list of VMs was never read"};
   const bool Heard =
       LastAnswer && Question.Now - *LastAnswer <= Options.AwayLimit;
   if (hasOthers(Question) && !Heard)
--- a/src/coordination/rollout/tests/freshness_machine_test.cpp
+++ b/src/coordination/rollout/tests/freshness_machine_test.cpp
@@ -101,4 +101,6 @@
   Machine.handle(platform_called{Own, platform_state::Away, {5}, Start});
   CHECK(judge(Start + 3s) == freshness_basis::PlatformAway);
   CHECK(judge(Start + 4s) == freshness_basis::Stale);
+  Members.clear(); // Others may exist that know more.
+  CHECK(judge(Start) == freshness_basis::Stale);
 }
--- /dev/null
+++ b/src/protocol/operator_documents/operator_documents.h
@@ -0,0 +1,59 @@
+/// \file
+/// JSON form of what nodes tell operators, read again by peridotctl.
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state/base/types/error.h"
+#include "state/burn/burn_ledger.h"
+#include "state/journal/decision_journal.h"
+
+namespace peridot {
+
+/// State of one node.
+struct vm_status {
+  vm_incarnation Vm;
+  data_center_name DataCenter;
+  revision Revision; ///< In force; 0: none.
+  bool KeysAreFresh = false;
+  std::string Freshness; ///< Why keys are fresh, or stale.
+  std::string FreshnessEvidence;
+  bool Feeds = false; ///< Watches the platform.
+  bool Leaving = false;
+  std::uint64_t VmsListed = 0;
+
+  bool operator==(const vm_status &) const = default;
+};
+
+/// One decision as a node's journal tells it.
+struct journal_entry {
+  std::chrono::system_clock::time_point At; ///< By the clock of that VM.
+  std::string Vm;                           ///< Whose journal.
+  std::string Decision;
+  std::string Subject;
+  std::string Name;
+  std::string Cause;
+  std::string Evidence;
+  std::string Rule;
+
+  bool operator==(const journal_entry &) const = default;
+};
+
+journal_entry journalEntry(const vm_name &Vm, const decision &Decision);
+
+std::string encodeStatus(const vm_status &Status);
+result<vm_status> decodeStatus(std::string_view Json);
+
+std::string encodeJournal(std::span<const journal_entry> Entries);
+result<std::vector<journal_entry>> decodeJournal(std::string_view Json);
+
+std::string encodeBurn(std::span<const subject_burn> Rows);
+result<std::vector<subject_burn>> decodeBurn(std::string_view Json);
+
+/// `2026-12-04T11:05:09.123Z`
+std::string timeText(std::chrono::system_clock::time_point At);
+
+} // namespace peridot
--- a/src/protocol/platform_documents/internal/platform_documents.cpp
+++ b/src/protocol/platform_documents/internal/platform_documents.cpp
@@ -44,8 +44,9 @@
           {"max_connections", Target.MaxConnections}};
 }
 
+constexpr auto NameText = [](const auto &Name) { return text(Name.view()); };
+
 json::value encodeAccount(const client_account &Account) {
-  const auto NameText = [](const auto &Name) { return text(Name.view()); };
   return {{"name", text(Account.Name.view())},
           {"rate", Account.Limit.RequestsPerSecond},
           {"burst", Account.Limit.Burst},
@@ -117,15 +118,26 @@
     Manifest.Documents.push_back(
         {.Service = service_name(textOf(Entry.at("service"))),
          .Digest = std::string(textOf(Entry.at("digest")))});
+  // Manifests of earlier versions lack the field.
+  if (const json::value *Revoked =
+          Value.as_object().if_contains("revoked_keys"))
+    for (const json::value &Digest : Revoked->as_array())
+      Manifest.RevokedKeys.emplace_back(textOf(Digest));
   return Manifest;
 }
 
+std::uint16_t operatorPortOf(const json::value &Row) {
+  const json::value *Port = Row.as_object().if_contains("operator_port");
+  return Port ? Port->to_number<std::uint16_t>() : DefaultOperatorPort;
+}
+
 listed_vm vmFrom(const json::value &Value) {
   return {.Name = vm_name(textOf(Value.at("name"))),
           .DataCenter = data_center_name(textOf(Value.at("data_center"))),
           .Address = std::string(textOf(Value.at("address"))),
           .CallerPort = Value.at("caller_port").to_number<std::uint16_t>(),
           .PeerPort = Value.at("peer_port").to_number<std::uint16_t>(),
+          .OperatorPort = operatorPortOf(Value),
           .State = textOf(Value.at("state")) == "leaving"
                        ? vm_list_state::Leaving
                        : vm_list_state::Live};
@@ -178,7 +190,8 @@
       {"publish_id", text(Manifest.PublishId)},
       {"author", text(Manifest.Author)},
       {"reason", text(Manifest.Reason)},
-      {"documents", arrayOf(std::span(Manifest.Documents), EncodeEntry)}});
+      {"documents", arrayOf(std::span(Manifest.Documents), EncodeEntry)},
+      {"revoked_keys", arrayOf(std::span(Manifest.RevokedKeys), NameText)}});
 }
 
 result<configuration_manifest> decodeManifest(std::string_view Json) {
@@ -192,6 +205,7 @@
             {"address", text(Vm.Address)},
             {"caller_port", Vm.CallerPort},
             {"peer_port", Vm.PeerPort},
+            {"operator_port", Vm.OperatorPort},
             {"state", Vm.State == vm_list_state::Live ? "live" : "leaving"}};
   };
   return json::serialize(arrayOf(Vms, EncodeVm));
--- a/src/protocol/platform_documents/platform_documents.h
+++ b/src/protocol/platform_documents/platform_documents.h
@@ -21,6 +21,9 @@
 /// State of a VM in the platform's lagging list.
 enum class vm_list_state { Live, Leaving };
 
+/// Operators' port of a VM whose row does not name one.
+inline constexpr std::uint16_t DefaultOperatorPort = 8082;
+
 /// One row of the platform's list of VMs.
 struct listed_vm {
   vm_name Name;
@@ -28,6 +31,7 @@
   std::string Address; ///< IP number.
   std::uint16_t CallerPort = 0;
   std::uint16_t PeerPort = 0;
+  std::uint16_t OperatorPort = DefaultOperatorPort;
   vm_list_state State = vm_list_state::Live;
 
   bool operator==(const listed_vm &) const = default;
--- a/src/state/configuration/types/configuration_manifest.h
+++ b/src/state/configuration/types/configuration_manifest.h
@@ -24,6 +24,9 @@
   std::string Author;
   std::string Reason;
   std::vector<manifest_entry> Documents;
+  /// Keys withdrawn by `peridotctl keys revoke`, oldest first. A publish that
+  /// lists one of them is refused, so that an old file cannot bring it back.
+  std::vector<key_digest> RevokedKeys;
 
   bool operator==(const configuration_manifest &) const = default;
 };
--- /dev/null
+++ b/src/transport/node/internal/burn_driver.cpp
@@ -0,0 +1,40 @@
+#include "transport/node/internal/burn_driver.h"
+
+namespace peridot {
+
+namespace {
+
+constexpr std::chrono::seconds ReadPeriod{10};
+
+} // namespace
+
+void burn_driver::start() {
+  Timer = Context.Timers.every(ReadPeriod,
+                               [this](instant Now) { readCounters(Now); });
+}
+
+std::vector<subject_burn> burn_driver::read() {
+  const instant Now = Context.Timers.now();
+  readCounters(Now);
+  return Ledger.read(Now);
+}
+
+void burn_driver::readCounters(instant Now) {
+  for (const counter_reading &Reading : Context.Metrics.readCounters()) {
+    if (Reading.Name.Metric != RequestsMetric)
+      continue;
+    const auto Series = parseRequestLabels(Reading.Name.Labels);
+    if (!Series)
+      continue;
+    std::uint64_t &Last = Seen[Reading.Name];
+    const std::uint64_t New = Reading.Value - Last;
+    Last = Reading.Value;
+    if (New == 0)
+      continue;
+    const bool Good = Series->End == request_end::Good;
+    Ledger.add(Series->Subject, {.Good = Good ? New : 0, .Bad = Good ? 0 : New},
+               Now);
+  }
+}
+
+} // namespace peridot
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/burn_driver.h"
 #include "transport/node/internal/operator_pages.h"
 #include "transport/node/internal/rollout_driver.h"
 #include "transport/node/internal/vm_list_driver.h"
@@ -68,8 +69,12 @@
   ownership_view Ownership;
   control_context Context;
   rollout_driver Rollout{Context};
+  burn_driver Burn{Context};
   vm_list_driver VmList{Context};
-  operator_pages Pages{Context};
+  operator_pages Pages{Context,
+                       {.Rollout = Rollout, .Burn = Burn, .Drain = [this] {
+                          Settings.OnDrain();
+                        }}};
   operator_server Operators;
 };
 
@@ -127,6 +132,7 @@
     Operators.start();
     VmList.start();
     Rollout.start();
+    Burn.start();
   });
 }
 
--- a/src/transport/node/internal/operator_pages.cpp
+++ b/src/transport/node/internal/operator_pages.cpp
@@ -3,23 +3,59 @@
 #include <boost/json.hpp>
 
 #include "protocol/http/metrics_text.h"
+#include "protocol/operator_documents/operator_documents.h"
 
 namespace peridot {
 
 namespace json = boost::json;
 
+namespace {
+
+/// Value of \p Name in a query; names of subjects need no escapes.
+std::string_view queryValue(std::string_view Query, std::string_view Name) {
+  while (!Query.empty()) {
+    const std::string_view Pair = Query.substr(0, Query.find('&'));
+    const std::size_t Equals = Pair.find('=');
+    if (Equals != std::string_view::npos && Pair.substr(0, Equals) == Name)
+      return Pair.substr(Equals + 1);
+    Query.remove_prefix(std::min(Query.size(), Pair.size() + 1));
+  }
+  return {};
+}
+
+operator_response problem(unsigned Status, std::string_view Error,
+                          std::string_view Remedy) {
+  return {.Status = Status,
+          .Body = json::serialize(json::value{
+              {"error", json::string_view(Error.data(), Error.size())},
+              {"remedy", json::string_view(Remedy.data(), Remedy.size())}})};
+}
+
+} // namespace
+
 operator_response
 operator_pages::answer(const operator_request &Request) const {
-  if (Request.Path == "/metrics")
+  const std::string_view Target = Request.Path;
+  const std::size_t Mark = Target.find('?');
+  const std::string_view Page = Target.substr(0, Mark);
+  const std::string_view Query =
+      Mark == std::string_view::npos ? "" : Target.substr(Mark + 1);
+  if (Page == "/metrics")
     return {.ContentType = "text/plain",
             .Body = encodeMetrics(Context.Metrics)};
-  if (Request.Path == "/ready")
+  if (Page == "/ready")
     return ready();
-  if (Request.Path == "/status")
+  if (Page == "/status")
     return status();
-  return {.Status = 404,
-          .Body = R"({"error":"no such page","remedy":)"
-                  R"("use /metrics, /ready or /status"})"};
+  if (Page == "/journal")
+    return journal(Query);
+  if (Page == "/burn")
+    return {.Body = encodeBurn(Sources.Burn.read())};
+  if (Page == "/drain")
+    return drain(Request.Method);
+  return problem(
+      404, "no such page",
+      "use /metrics, /ready, /status, /journal, /burn or POST /drain");
 }
 
 operator_response operator_pages::ready() const {
@@ -36,18 +72,37 @@
 
 operator_response operator_pages::status() const {
   const routing_snapshot &Snapshot = Context.Snapshots.current();
-  const std::uint64_t Revision =
-      Snapshot.Configuration
-          ? Snapshot.Configuration->configuration().Revision.Value
-          : 0;
-  return {.Body = json::serialize(
-              json::value{{"vm", Context.Self.Vm.str()},
-                          {"incarnation", Context.Self.Incarnation.Value},
-                          {"data_center", Context.Settings.DataCenter.str()},
-                          {"revision", Revision},
-                          {"keys_are_fresh", Snapshot.KeysAreFresh},
-                          {"leaving", Snapshot.Leaving},
-                          {"vms_listed", Snapshot.Vms.size()}})};
+  const freshness_verdict Freshness =
+      Sources.Rollout.freshness(Context.Timers.now());
+  return {.Body =
+              encodeStatus({.Vm = Context.Self,
+                            .DataCenter = Context.Settings.DataCenter,
+                            .Revision = Sources.Rollout.inForce(),
+                            .KeysAreFresh = Snapshot.KeysAreFresh,
+                            .Freshness = std::string(nameOf(Freshness.Basis)),
+                            .FreshnessEvidence = Freshness.Evidence,
+                            .Feeds = Sources.Rollout.feeds(),
+                            .Leaving = Snapshot.Leaving,
+                            .VmsListed = Snapshot.Vms.size()})};
+}
+
+operator_response operator_pages::journal(std::string_view Query) const {
+  const std::string_view Kind = queryValue(Query, "kind");
+  const std::string_view Name = queryValue(Query, "name");
+  std::vector<journal_entry> Entries;
+  for (const decision &Decision : Context.Decisions.journal().all())
+    if ((Kind.empty() || Kind == nameOf(Decision.Subject)) &&
+        (Name.empty() || Name == Decision.Name))
+      Entries.push_back(journalEntry(Context.Self.Vm, Decision));
+  return {.Body = encodeJournal(Entries)};
+}
+
+operator_response operator_pages::drain(std::string_view Method) const {
+  if (Method != "POST")
+    return problem(405, "draining changes the node", "use POST /drain");
+  if (!Context.Snapshots.current().Leaving)
+    Sources.Drain();
+  return {.Status = 202, .Body = R"({"draining":true})"};
 }
 
 } // namespace peridot
--- a/src/transport/node/internal/rollout_driver.cpp
+++ b/src/transport/node/internal/rollout_driver.cpp
@@ -67,7 +67,8 @@
 task<void> rollout_driver::watchPlatform() {
   asio::steady_timer Delay(Context.Loop);
   while (true) {
-    if (needsPlatform()) {
+    Feeds = needsPlatform();
+    if (Feeds) {
       const result<void> Called = co_await callPlatform();
       updateFreshness();
       if (Called)
--- a/src/transport/node/internal/rollout_driver.h
+++ b/src/transport/node/internal/rollout_driver.h
@@ -21,6 +21,8 @@
   void start();
   revision inForce() const { return Store.inForce(); }
   freshness_verdict freshness(instant Now) const;
+  /// True while this VM watches the platform.
+  bool feeds() const { return Feeds; }
 
 private:
   // Towards the platform.
@@ -57,6 +59,7 @@
   feeder_options Feeding;
   /// A VM that stepped in as feeder stays one until then.
   instant FeedsUntil{};
+  bool Feeds = false;
   revision PlatformRevision;
   std::uint64_t WatchedVersion = 0;
   timer_subscription FreshnessTimer;
--- a/src/transport/node/types/node_settings.h
+++ b/src/transport/node/types/node_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 #include "state/base/types/identifiers.h"
@@ -24,6 +25,8 @@
   std::chrono::seconds AddressTimeToLive{10};
   /// Longest time that a shutdown waits for running requests.
   std::chrono::seconds ShutdownLimit{60};
+  /// Called on the control thread when an operator asks the node to leave.
+  std::function<void()> OnDrain = [] {};
 };
 
 /// Ports that a started node listens on.
--- a/src/transport/platform/internal/configuration_publisher.cpp
+++ b/src/transport/platform/internal/configuration_publisher.cpp
@@ -1,6 +1,6 @@
 #include "transport/platform/configuration_publisher.h"
 
-#include "state/base/hashing.h"
+#include "transport/platform/manifest_access.h"
 
 namespace peridot {
 
@@ -9,9 +9,18 @@
 /// Tries at moving `current` while answers are lost.
 constexpr int MaxTries = 5;
 
-bool mayHaveTakenEffect(const error &Error) {
-  return Error.Kind == error_kind::Timeout ||
-         Error.Kind == error_kind::Unavailable;
+std::vector<key_digest> keysOf(std::span<const service_document> Documents) {
+  std::vector<key_digest> Keys;
+  for (const service_document &Document : Documents)
+    for (const client_account &Account : Document.Accounts)
+      Keys.insert(Keys.end(), Account.Keys.begin(), Account.Keys.end());
+  return Keys;
+}
+
+error revokedKeyError(const key_digest &Digest) {
+  return {error_kind::Conflict, "key digest " + Digest.str() + " was revoked",
+          "remove it from the service file, or allow it again with "
+          "'peridotctl keys add'"};
 }
 
 } // namespace
@@ -27,7 +36,8 @@
   publish_request Request{.PublishId = Intent.PublishId,
                           .Author = Intent.Author,
                           .Reason = Intent.Reason,
-                          .Documents = std::move(*Entries)};
+                          .Documents = std::move(*Entries),
+                          .Keys = keysOf(Documents)};
   co_return co_await moveCurrent(std::move(Request));
 }
 
@@ -36,25 +46,10 @@
     std::span<const service_document> Documents) {
   std::vector<manifest_entry> Entries;
   for (const service_document &Document : Documents) {
-    std::string Json = encodeDocument(Document);
-    std::string Digest = sha256Hex(Json);
-    const auto Written =
-        co_await Platform.write(documentObject(Digest), 0, std::move(Json));
-    // A conflict means that the same document is stored already.
-    if (!Written && Written.error().Kind != error_kind::Conflict &&
-        !mayHaveTakenEffect(Written.error()))
-      co_return tl::unexpected(Written.error());
-    Entries.push_back({Document.Service.Name, std::move(Digest)});
-  }
-  for (const manifest_entry &Entry : Entries) {
-    const auto Stored = co_await Platform.read(documentObject(Entry.Digest));
-    if (!Stored)
-      co_return tl::unexpected(Stored.error());
-    if (!*Stored)
-      co_return fail(error_kind::Unavailable,
-                     "document of service " + Entry.Service.str() +
-                         " was not stored",
-                     "publish again with the same --publish_id");
+    auto Entry = co_await storeDocument(Platform, Document);
+    if (!Entry)
+      co_return tl::unexpected(Entry.error());
+    Entries.push_back(std::move(*Entry));
   }
   co_return Entries;
 }
@@ -63,20 +58,15 @@
 configuration_publisher::moveCurrent(publish_request Request) {
   std::optional<std::uint64_t> FirstVersion;
   for (int Try = 0; Try < MaxTries; ++Try) {
-    const auto Stored = co_await Platform.read(std::string(CurrentObject));
+    const auto Stored = co_await readManifest(Platform);
     if (!Stored)
       co_return tl::unexpected(Stored.error());
-    std::optional<configuration_manifest> Current;
-    if (*Stored) {
-      auto Decoded = decodeManifest((*Stored)->Body);
-      if (!Decoded)
-        co_return tl::unexpected(Decoded.error());
-      Current = std::move(*Decoded);
-    }
-    const publish_plan Plan = planPublish(Current, Request);
+    const publish_plan Plan = planPublish(Stored->Manifest, Request);
+    if (const auto *Revoked = std::get_if<revoked_key_listed>(&Plan))
+      co_return tl::unexpected(revokedKeyError(Revoked->Digest));
     if (const auto *Done = std::get_if<already_published>(&Plan))
       co_return publish_report{Done->Revision, true};
-    const std::uint64_t Version = *Stored ? (*Stored)->Version : 0;
+    const std::uint64_t Version = Stored->Version;
     if (FirstVersion && *FirstVersion != Version)
       co_return fail(error_kind::Conflict, "someone else published meanwhile",
                      "compare your files with theirs and publish again");
--- /dev/null
+++ b/tests/integration/keys_test.cpp
@@ -0,0 +1,109 @@
+#include <doctest/doctest.h>
+
+#include "state/base/hashing.h"
+#include "support/fleet_fixture.h"
+
+using namespace peridot::test;
+
+namespace {
+
+constexpr const char *DataCenters[] = {"lakes-a", "lakes-b", "lakes-c"};
+
+struct keys_fixture : fleet_fixture {
+  keys_fixture() {
+    addTarget("hive-1", "lakes-a");
+    for (int Index = 0; Index < 6; ++Index)
+      addNode("vm-" + std::to_string(Index + 1), DataCenters[Index % 3]);
+    listNodes();
+    writeServiceFile("hive", "[[route]]\npath = \"/hive\"\nrepeatable = true\n"
+                             "[[route]]\npath = \"/open\"\nopen = true\n" +
+                                 accountToml("keepers", "secret", 1e4, 1e4) +
+                                 accountToml("renters", "spare", 1e4, 1e4));
+    publish("first");
+    awaitRevision(1);
+    for (const auto &Node : Nodes) {
+      awaitReady(*Node);
+      awaitCondition("the list of VMs at " + Node->Name, [&] {
+        return httpCall(Node->OperatorPort, {.Path = "/status"})
+                   .Body.find("\"vms_listed\":6") != std::string::npos;
+      });
+      Connections.push_back(
+          std::make_unique<http_connection>(Node->CallerPort));
+    }
+  }
+
+  finished_program keys(const std::string &Verb, const std::string &Account,
+                        const std::string &Key) const {
+    return ctl({"keys", Verb, Account, peridot::digestOfKey(Key).str(),
+                "--author=tests", "--reason=key test"});
+  }
+
+  /// Status of one request on the connection that is open since the start.
+  unsigned request(std::size_t Node, const std::string &Key) const {
+    return Connections[Node]
+        ->call({.Path = "/hive", .Fields = {{"Peridot-Key", Key}}})
+        .Status;
+  }
+
+  std::size_t refusers(const std::string &Key) const {
+    std::size_t Count = 0;
+    for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+      Count += request(Node, Key) == 401 ? 1 : 0;
+    return Count;
+  }
+
+  void awaitEverywhere(const std::string &Key, unsigned Status) const {
+    for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+      awaitCondition(std::to_string(Status) + " at " + Nodes[Node]->Name,
+                     [&] { return request(Node, Key) == Status; });
+  }
+
+  std::vector<std::unique_ptr<http_connection>> Connections;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(keys_fixture, "revoke_openConnectionsThenOutage_refused") {
+  awaitEverywhere("secret", 200);
+  CHECK(keys("revoke", "keepers", "secret").ExitCode == 0);
+  awaitCondition("one VM knows", [&] { return refusers("secret") > 0; });
+  platformFaults("down=1");
+  awaitEverywhere("secret", 401);
+  awaitEverywhere("spare", 200);
+}
+
+TEST_CASE_FIXTURE(keys_fixture, "revoke_again_sameRevisionAndFilesRefused") {
+  CHECK(keys("revoke", "keepers", "secret").Output ==
+        "revision 2 is accepted\n");
+  CHECK(keys("revoke", "keepers", "secret").Output ==
+        "revision 2 was in force already\n");
+  const finished_program Published = publish("old file");
+  CHECK(Published.ExitCode == 3);
+  CHECK(Published.Output.find("was revoked") != std::string::npos);
+  CHECK(keys("revoke", "grooms", "secret").ExitCode == 1);
+  CHECK(keys("add", "keepers", "spare").ExitCode == 3);
+}
+
+TEST_CASE_FIXTURE(keys_fixture, "add_answerLost_keyWorksEverywhere") {
+  awaitEverywhere("fresh", 401);
+  platformFaults("lose_answers=2");
+  CHECK(keys("add", "keepers", "fresh").ExitCode == 0);
+  awaitEverywhere("fresh", 200);
+  awaitRevision(2);
+}
+
+TEST_CASE_FIXTURE(keys_fixture, "node_cutOffFromAll_refusesNotRunUntilHeard") {
+  platformFaults("down=1");
+  for (std::size_t Node = 0; Node + 1 < Nodes.size(); ++Node)
+    Nodes[Node]->Process->signal(SIGSTOP);
+  const std::size_t Last = Nodes.size() - 1;
+  awaitCondition("refusal", [&] { return request(Last, "secret") == 503; });
+  const http_answer Refused = Connections[Last]->call(
+      {.Path = "/hive", .Fields = {{"Peridot-Key", "secret"}}});
+  CHECK(Refused.Body.find("keys-not-fresh") != std::string::npos);
+  CHECK(Refused.Fields.at("peridot-outcome") == "not-run");
+  CHECK(Connections[Last]->call({.Path = "/open"}).Status == 200);
+  for (std::size_t Node = 0; Node + 1 < Nodes.size(); ++Node)
+    Nodes[Node]->Process->signal(SIGCONT);
+  awaitEverywhere("secret", 200);
+}
--- a/tests/support/fleet_fixture.cpp
+++ b/tests/support/fleet_fixture.cpp
@@ -97,6 +97,7 @@
          {"caller_port", Node->CallerPort},
          {"peer_port",
           Node->AdvertisedPeerPort ? Node->AdvertisedPeerPort : Node->PeerPort},
+         {"operator_port", Node->OperatorPort},
          {"state", Node->ListState}});
   httpCall(PlatformPort, {.Method = "PUT",
                           .Path = "/admin/vms",
