--- a/apps/peridotctl/commands.h
+++ b/apps/peridotctl/commands.h
@@ -10,5 +10,8 @@
 exit_code runPublish(const command_line &Line);
 exit_code runKeys(const command_line &Line);
 exit_code runStatus(const command_line &Line);
+exit_code runExplain(const command_line &Line);
+exit_code runBurn(const command_line &Line);
+exit_code runDrain(const command_line &Line);
 
 } // namespace peridot
--- a/apps/peridotctl/service_folder.cpp
+++ b/apps/peridotctl/service_folder.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "protocol/service_files/declarations.h"
+
 namespace peridot {
 
 namespace {
@@ -37,14 +39,20 @@
                 "folder '" + Folder + "' holds no *.toml files",
                 "name the folder with the service files");
   service_folder Read;
+  std::vector<declaration> Declarations;
   for (const fs::path &File : Files) {
-    auto Document = readServiceFile(File.string(), contentOf(File));
+    const std::string Content = contentOf(File);
+    for (declaration &Each : findDeclarations(File.string(), Content))
+      Declarations.push_back(std::move(Each));
+    auto Document = readServiceFile(File.string(), Content);
     if (Document)
       Read.Documents.push_back(std::move(*Document));
     else
       Read.Faults.insert(Read.Faults.end(), Document.error().begin(),
                          Document.error().end());
   }
+  const file_faults Conflicts = findConflicts(Declarations);
+  Read.Faults.insert(Read.Faults.end(), Conflicts.begin(), Conflicts.end());
   return Read;
 }
 
--- a/src/coordination/routing/types/routing_snapshot.h
+++ b/src/coordination/routing/types/routing_snapshot.h
@@ -26,6 +26,7 @@
   data_center_name DataCenter;
   std::string Address; ///< IP number.
   std::uint16_t Port = 0;
+  bool Suspected = false; ///< Named last.
 
   bool operator==(const vm_address &) const = default;
 };
--- a/src/protocol/operator_documents/internal/operator_documents.cpp
+++ b/src/protocol/operator_documents/internal/operator_documents.cpp
@@ -18,6 +18,11 @@
   return {Text.data(), Text.size()};
 }
 
+std::uint64_t numberOf(const json::value &Row, std::string_view Key) {
+  return Row.at(json::string_view(Key.data(), Key.size()))
+      .to_number<std::uint64_t>();
+}
+
 std::int64_t millisecondsOf(std::chrono::system_clock::time_point At) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              At.time_since_epoch())
@@ -113,7 +118,13 @@
           .FreshnessEvidence = textOf(Value, "freshness_evidence"),
           .Feeds = Value.at("feeds").as_bool(),
           .Leaving = Value.at("leaving").as_bool(),
-          .VmsListed = Value.at("vms_listed").to_number<std::uint64_t>()};
+          .VmsListed = numberOf(Value, "vms_listed"),
+          .VmsSuspected = numberOf(Value, "vms_suspected"),
+          .SilentLinks = numberOf(Value, "silent_links"),
+          .Shards = {.Owned = numberOf(Value, "shards_owned"),
+                     .Acting = numberOf(Value, "shards_acting"),
+                     .ActingFor = std::chrono::milliseconds(
+                         Value.at("acting_for_ms").to_number<std::int64_t>())}};
 }
 
 } // namespace
@@ -153,7 +164,12 @@
                   {"freshness_evidence", Status.FreshnessEvidence},
                   {"feeds", Status.Feeds},
                   {"leaving", Status.Leaving},
-                  {"vms_listed", Status.VmsListed}});
+                  {"vms_listed", Status.VmsListed},
+                  {"vms_suspected", Status.VmsSuspected},
+                  {"silent_links", Status.SilentLinks},
+                  {"shards_owned", Status.Shards.Owned},
+                  {"shards_acting", Status.Shards.Acting},
+                  {"acting_for_ms", Status.Shards.ActingFor.count()}});
 }
 
 result<vm_status> decodeStatus(std::string_view Json) {
--- a/src/protocol/operator_documents/operator_documents.h
+++ b/src/protocol/operator_documents/operator_documents.h
@@ -13,6 +13,15 @@
 
 namespace peridot {
 
+/// The shards that one node owns.
+struct shard_summary {
+  std::uint64_t Owned = 0;
+  std::uint64_t Acting = 0; ///< Of these, with a lease that holds.
+  std::chrono::milliseconds ActingFor{0}; ///< Until a lease runs out.
+
+  bool operator==(const shard_summary &) const = default;
+};
+
 /// State of one node.
 struct vm_status {
   vm_incarnation Vm;
@@ -24,6 +33,9 @@
   bool Feeds = false; ///< Watches the platform.
   bool Leaving = false;
   std::uint64_t VmsListed = 0;
+  std::uint64_t VmsSuspected = 0;
+  std::uint64_t SilentLinks = 0;
+  shard_summary Shards;
 
   bool operator==(const vm_status &) const = default;
 };
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -7,7 +7,9 @@
 
 #include "transport/logging/event_log.h"
 #include "transport/node/internal/burn_driver.h"
+#include "transport/node/internal/membership_driver.h"
 #include "transport/node/internal/operator_pages.h"
+#include "transport/node/internal/ownership_driver.h"
 #include "transport/node/internal/rollout_driver.h"
 #include "transport/node/internal/vm_list_driver.h"
 #include "transport/operators/operator_server.h"
@@ -70,7 +72,9 @@
   control_context Context;
   rollout_driver Rollout{Context};
   burn_driver Burn{Context};
-  vm_list_driver VmList{Context};
+  membership_driver Membership{Context};
+  vm_list_driver VmList{Context, Membership};
+  ownership_driver OwnershipDriver{Context};
   operator_pages Pages{Context,
                        {.Rollout = Rollout, .Burn = Burn, .Drain = [this] {
                           Settings.OnDrain();
@@ -130,7 +134,9 @@
   asio::post(Control.context(), [this] {
     Peers.start();
     Operators.start();
+    Membership.start();
     VmList.start();
+    OwnershipDriver.start();
     Rollout.start();
     Burn.start();
   });
--- a/src/transport/node/internal/operator_pages.cpp
+++ b/src/transport/node/internal/operator_pages.cpp
@@ -1,5 +1,7 @@
 #include "transport/node/internal/operator_pages.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "protocol/http/metrics_text.h"
@@ -74,16 +76,34 @@
   const routing_snapshot &Snapshot = Context.Snapshots.current();
   const freshness_verdict Freshness =
       Sources.Rollout.freshness(Context.Timers.now());
-  return {.Body =
-              encodeStatus({.Vm = Context.Self,
-                            .DataCenter = Context.Settings.DataCenter,
-                            .Revision = Sources.Rollout.inForce(),
-                            .KeysAreFresh = Snapshot.KeysAreFresh,
-                            .Freshness = std::string(nameOf(Freshness.Basis)),
-                            .FreshnessEvidence = Freshness.Evidence,
-                            .Feeds = Sources.Rollout.feeds(),
-                            .Leaving = Snapshot.Leaving,
-                            .VmsListed = Snapshot.Vms.size()})};
+  const auto Suspected =
+      std::ranges::count_if(Context.Members.Members, &member::Suspected);
+  return {.Body = encodeStatus(
+              {.Vm = Context.Self,
+               .DataCenter = Context.Settings.DataCenter,
+               .Revision = Sources.Rollout.inForce(),
+               .KeysAreFresh = Snapshot.KeysAreFresh,
+               .Freshness = std::string(nameOf(Freshness.Basis)),
+               .FreshnessEvidence = Freshness.Evidence,
+               .Feeds = Sources.Rollout.feeds(),
+               .Leaving = Snapshot.Leaving,
+               .VmsListed = Snapshot.Vms.size(),
+               .VmsSuspected = static_cast<std::uint64_t>(Suspected),
+               .SilentLinks = Context.Members.SilentLinks.size(),
+               .Shards = summarizeShards()})};
+}
+
+shard_summary operator_pages::summarizeShards() const {
+  const instant Now = Context.Timers.now();
+  shard_summary Summary{.Owned = Context.Ownership.ActingUntil.size()};
+  for (const auto &[Shard, Until] : Context.Ownership.ActingUntil) {
+    if (Until <= Now)
+      continue;
+    ++Summary.Acting;
+    Summary.ActingFor =
+        std::chrono::ceil<std::chrono::milliseconds>(Until - Now);
+  }
+  return Summary;
 }
 
 operator_response operator_pages::journal(std::string_view Query) const {
--- a/src/transport/node/internal/operator_pages.h
+++ b/src/transport/node/internal/operator_pages.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "protocol/operator_documents/operator_documents.h"
 #include "transport/node/control_context.h"
 #include "transport/node/internal/burn_driver.h"
 #include "transport/node/internal/rollout_driver.h"
@@ -30,6 +31,7 @@
 private:
   operator_response ready() const;
   operator_response status() const;
+  shard_summary summarizeShards() const;
   operator_response journal(std::string_view Query) const;
   operator_response drain(std::string_view Method) const;
 
