--- a/apps/peridotctl/main.cpp
+++ b/apps/peridotctl/main.cpp
@@ -17,6 +17,9 @@
     command_entry{"publish", peridot::runPublish},
     command_entry{"keys", peridot::runKeys},
     command_entry{"status", peridot::runStatus},
+    command_entry{"explain", peridot::runExplain},
+    command_entry{"burn", peridot::runBurn},
+    command_entry{"drain", peridot::runDrain},
 };
 
 peridot::exit_code run(const peridot::command_line &Line) {
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -4,8 +4,10 @@
 
 #include <boost/beast/http.hpp>
 
+#include "coordination/routing/address_order.h"
 #include "protocol/http/problem_details.h"
 #include "protocol/http/request_framing.h"
+#include "state/base/hashing.h"
 #include "state/base/types/overloaded.h"
 #include "transport/callers/internal/request_relay.h"
 
@@ -164,11 +166,19 @@
 }
 
 task<bool> caller_session::answerAddresses() {
-  std::vector<vm_address> Preferred = Worker.snapshot()->Vms;
-  std::stable_partition(Preferred.begin(), Preferred.end(),
-                        [this](const vm_address &Vm) {
-                          return Vm.DataCenter == Worker.options().DataCenter;
-                        });
+  const snapshot_ptr Snapshot = Worker.snapshot();
+  const auto &Request = Parser->get();
+  const auto Key = Request.find(toBeast(KeyField));
+  const client_account *Account = nullptr;
+  if (Snapshot->Configuration && Key != Request.end())
+    Account = Snapshot->Configuration->findAccountByKey(
+        digestOfKey(toStd(Key->value())));
+  const std::vector<vm_address> Preferred =
+      orderAddresses(Snapshot->Vms,
+                     {.Account = Account,
+                      .Nearest = Worker.options().DataCenter,
+                      .Random = Worker.random()},
+                     address_options{});
   co_return co_await sendText(
       200, "application/json",
       encodeAddresses(Preferred, Worker.options().AddressTimeToLive), nullptr);
--- a/src/transport/node/internal/membership_driver.cpp
+++ b/src/transport/node/internal/membership_driver.cpp
@@ -115,21 +115,19 @@
 }
 
 std::vector<vm_address> membership_driver::callableVms() const {
-  std::vector<vm_address> Trusted;
-  std::vector<vm_address> Suspected;
+  std::vector<vm_address> Callable;
   // Members are in the order of the list.
   for (std::size_t Index = 0; Index < Listed.size(); ++Index) {
     const listed_vm &Vm = Listed[Index];
     const member &Member = Context.Members.Members[Index];
     if (!Member.Leaving)
-      (Member.Suspected ? Suspected : Trusted)
-          .push_back({.Vm = Vm.Name,
-                      .DataCenter = Vm.DataCenter,
-                      .Address = Vm.Address,
-                      .Port = Vm.CallerPort});
+      Callable.push_back({.Vm = Vm.Name,
+                          .DataCenter = Vm.DataCenter,
+                          .Address = Vm.Address,
+                          .Port = Vm.CallerPort,
+                          .Suspected = Member.Suspected});
   }
-  std::ranges::move(Suspected, std::back_inserter(Trusted));
-  return Trusted;
+  return Callable;
 }
 
 } // namespace peridot
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/burn_driver.h"
 #include "transport/node/internal/health_driver.h"
 #include "transport/node/internal/limits_driver.h"
 #include "transport/node/internal/membership_driver.h"
@@ -72,12 +73,16 @@
   ownership_view Ownership;
   control_context Context;
   rollout_driver Rollout{Context};
+  burn_driver Burn{Context};
   membership_driver Membership{Context};
   vm_list_driver VmList{Context, Membership};
   ownership_driver OwnershipDriver{Context};
   limits_driver Limits{Context};
   health_driver Health{Context};
-  operator_pages Pages{Context};
+  operator_pages Pages{Context,
+                       {.Rollout = Rollout, .Burn = Burn, .Drain = [this] {
+                          Settings.OnDrain();
+                        }}};
   operator_server Operators;
 };
 
@@ -148,6 +153,7 @@
     Limits.start();
     Rollout.start();
     Health.start();
+    Burn.start();
   });
 }
 
--- a/src/transport/operators/internal/operator_client.cpp
+++ b/src/transport/operators/internal/operator_client.cpp
@@ -62,18 +62,30 @@
 
 } // namespace
 
+std::vector<result<operator_response>>
+askOperatorPorts(std::span<const asio::ip::tcp::endpoint> Endpoints,
+                 const operator_request &Request) {
+  asio::io_context Loop(1);
+  std::vector<std::optional<result<operator_response>>> Outcomes(
+      Endpoints.size());
+  for (std::size_t Index = 0; Index < Endpoints.size(); ++Index)
+    asio::co_spawn(
+        Loop, exchangeInto(Loop, Endpoints[Index], Request, Outcomes[Index]),
+        asio::detached);
+  Loop.run();
+  std::vector<result<operator_response>> Answers;
+  for (auto &Outcome : Outcomes)
+    Answers.push_back(Outcome
+                          ? std::move(*Outcome)
+                          : fail(error_kind::Internal, "the exchange broke off",
+                                 "report this as a defect"));
+  return Answers;
+}
+
 result<operator_response>
 askOperatorPort(const asio::ip::tcp::endpoint &Endpoint,
                 const operator_request &Request) {
-  asio::io_context Loop(1);
-  std::optional<result<operator_response>> Outcome;
-  asio::co_spawn(Loop, exchangeInto(Loop, Endpoint, Request, Outcome),
-                 asio::detached);
-  Loop.run();
-  if (!Outcome)
-    return fail(error_kind::Internal, "the exchange broke off",
-                "report this as a defect");
-  return std::move(*Outcome);
+  return std::move(askOperatorPorts(std::span(&Endpoint, 1), Request).front());
 }
 
 } // namespace peridot
