Pass on parts of a body without waiting for the next

Cause: the composed read of Beast reads on while the parser asks for more, so the bytes of a chunk were held until further bytes came. Seen failing: node_truncatedChunkedAnswer took 10.1 s (the deadline of the route) in 7 of 12 runs, with the answer's first chunk delivered only then. Ruled out: the target not closing (its side was in CLOSE-WAIT at the node). Why the end of the connection did not wake that read was not found.

The relay now parses what it received and returns it before it reads again. All 15 CTest programs pass.

--- a/src/transport/callers/internal/body_relay.h
+++ b/src/transport/callers/internal/body_relay.h
@@ -4,10 +4,11 @@
 
 #include <array>
 #include <limits>
+#include <utility>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "transport/callers/internal/relay_watch.h"
@@ -44,22 +45,45 @@
   std::uint64_t Allowance = std::numeric_limits<std::uint64_t>::max();
 };
 
-/// Reads the next bytes of a body into \p Space, from \p Offset on.
-/// \returns how many; 0 is no end.
+/// Parses what was received. \returns an error of the message's framing.
+template <typename Parser>
+boost::system::error_code parseReceived(boost::beast::flat_buffer &Buffer,
+                                        Parser &Source) {
+  namespace http = boost::beast::http;
+  boost::system::error_code Error;
+  Buffer.consume(Source.put(Buffer.cdata(), Error));
+  if (Error == http::error::need_more || Error == http::error::need_buffer)
+    Error = {};
+  return Error;
+}
+
+/// Reads the next bytes of a body into \p Space, from \p Offset on. Returns
+/// what came without waiting for more.
+/// \returns how many; 0 without an error: the end.
 template <typename Parser>
 task<std::pair<boost::system::error_code, std::size_t>>
 readBodyPart(tcp_stream &From, boost::beast::flat_buffer &Buffer,
              Parser &Source, relay_buffer &Space, std::size_t Offset) {
-  namespace http = boost::beast::http;
   Source.eager(true);
   Source.get().body().data = Space.data() + Offset;
   Source.get().body().size = Space.size() - Offset;
-  auto [Error, Read] =
-      co_await http::async_read_some(From, Buffer, Source, UseTaskTuple);
-  if (Error == http::error::need_buffer)
-    Error = {};
-  const std::size_t Size = Space.size() - Offset - Source.get().body().size;
-  co_return std::pair(Error, Size);
+  const auto ReadBytes = [&] {
+    return Space.size() - Offset - Source.get().body().size;
+  };
+  boost::system::error_code Error;
+  if (Buffer.size() > 0)
+    Error = parseReceived(Buffer, Source);
+  while (!Error && ReadBytes() == 0 && !Source.is_done()) {
+    auto [ReadError, Count] = co_await From.async_read_some(
+        Buffer.prepare(RelayBufferBytes), UseTaskTuple);
+    Buffer.commit(Count);
+    Error = ReadError;
+    if (ReadError == boost::asio::error::eof)
+      Source.put_eof(Error);
+    else if (!ReadError)
+      Error = parseReceived(Buffer, Source);
+  }
+  co_return std::pair(Error, ReadBytes());
 }
 
 /// Copies what is left of a body; ends when the watch cancels it.
