--- a/src/transport/node/internal/ownership_driver.cpp
+++ b/src/transport/node/internal/ownership_driver.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds TickPeriod{250};
 /// The platform counts each waiting watch as one call.
 constexpr std::chrono::milliseconds WatchWait{20'000};
+constexpr std::chrono::milliseconds WatchGrace{2'000};
 /// Pause between two watches: several changes arrive as one.
 constexpr std::chrono::milliseconds WatchPause{500};
 constexpr std::chrono::milliseconds RetryDelay{1'000};
@@ -134,7 +135,7 @@
   asio::steady_timer Delay(Context.Loop);
   while (true) {
     const auto Watched = co_await Context.Platform.watch(
-        std::string(ShardsObject), Machine.mapVersion(), WatchWait);
+        std::string(ShardsObject), Machine.mapVersion(), WatchWait, WatchGrace);
     if (!Watched)
       logError("shard-map-read-failed", Watched.error());
     else if (*Watched)
