Ask the whole fleet from peridotctl; name an account's homes first

Cause: status knew one node only, nothing told an operator why the fleet acted, and every caller was sent to every VM.

status, explain, burn and drain ask the operators' ports of all VMs on the platform's list (`operator_port`, default 8082), at once, and say which they could not reach. check reports conflicts between files with the places of both.

The address answer names the account's home VMs first, nearest data centre first, equal ones in random order, then four spares; suspected VMs come last and leaving ones not at all. Ruled out: the same order for all callers (the first home would carry all).

--- a/src/coordination/routing/tests/address_order_test.cpp
+++ b/src/coordination/routing/tests/address_order_test.cpp
@@ -30,8 +30,9 @@
   }
 
   std::set<vm_name> homes(std::uint64_t Random) const {
+    const std::vector<vm_address> Ordered = order(Random);
     std::set<vm_name> Names;
-    for (const vm_address &Vm : std::span(order(Random)).first(6))
+    for (const vm_address &Vm : std::span(Ordered).first(6))
       Names.insert(Vm.Vm);
     return Names;
   }
--- /dev/null
+++ b/tests/integration/ctl_test.cpp
@@ -0,0 +1,83 @@
+#include <doctest/doctest.h>
+
+#include "support/fleet_fixture.h"
+
+using namespace peridot::test;
+
+namespace {
+
+struct ctl_fixture : fleet_fixture {
+  ctl_fixture() {
+    addTarget("hive-1", "lakes-a");
+    addNode("vm-1", "lakes-a");
+    addNode("vm-2", "lakes-b");
+    listNodes();
+    writeServiceFile("hive", "[[route]]\npath = \"/hive\"\n" +
+                                 accountToml("keepers", "secret", 1e4, 1e4));
+    publish("winter limits");
+    awaitRevision(1);
+    for (const auto &Node : Nodes)
+      awaitReady(*Node);
+  }
+
+  static bool contains(const finished_program &Program,
+                       const std::string &Text) {
+    return Program.Output.find(Text) != std::string::npos;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ctl_fixture, "status_oneVmGone_othersShownGoneNamed") {
+  CHECK(contains(ctl({"status"}), "vm-2"));
+  Nodes[1]->Process->signal(SIGKILL);
+  Nodes[1]->Process->awaitExit();
+  const finished_program Status = ctl({"status", "--json"});
+  CHECK(Status.ExitCode == 0);
+  CHECK(contains(Status, "\"unreached\":[\"vm-2\"]"));
+  CHECK(contains(Status, "\"vm\":\"vm-1\""));
+}
+
+TEST_CASE_FIXTURE(ctl_fixture, "explain_configuration_storyOfAllVms") {
+  const finished_program Story = ctl({"explain", "configuration", "1"});
+  CHECK(Story.ExitCode == 0);
+  CHECK(contains(Story, "vm-1 configuration-accepted configuration 1"));
+  CHECK(contains(Story, "vm-2 configuration-accepted configuration 1"));
+  CHECK(contains(Story, "cause: published by tests: winter limits"));
+  CHECK(ctl({"explain", "target", "nothing"}).ExitCode == 1);
+  CHECK(ctl({"explain", "weather", "x"}).ExitCode == 2);
+}
+
+TEST_CASE_FIXTURE(ctl_fixture, "drain_oneVm_exitsAndOtherStays") {
+  CHECK(ctl({"drain", "vm-9"}).ExitCode == 1);
+  CHECK(ctl({"drain", "vm-2"}).ExitCode == 0);
+  CHECK(Nodes[1]->Process->awaitExit() == 0);
+  CHECK(httpCall(Nodes[0]->OperatorPort, {.Path = "/ready"}).Status == 200);
+}
+
+TEST_CASE_FIXTURE(ctl_fixture, "burn_platformDown_unreachable") {
+  CHECK(ctl({"burn", "--json"}).ExitCode == 0);
+  CHECK(ctl({"burn", "--objective=2"}).ExitCode == 2);
+  platformFaults("down=1");
+  CHECK(ctl({"burn"}).ExitCode == 4);
+}
+
+TEST_CASE_FIXTURE(ctl_fixture, "check_conflictBetweenFiles_bothPlacesNamed") {
+  writeServiceFile("other", "[[route]]\npath = \"/other\"\n");
+  const finished_program Check = ctl({"check", folder() + "/services"});
+  CHECK(Check.ExitCode == 2);
+  CHECK(contains(Check, "other.toml"));
+  CHECK(contains(Check, "target 'hive-1' is declared already"));
+}
+
+TEST_CASE_FIXTURE(ctl_fixture, "addresses_knownKey_homesOfTheAccount") {
+  awaitCondition("both VMs in the answer", [&] {
+    const std::string Body =
+        httpCall(Nodes[0]->CallerPort, {.Path = "/peridot/v1/addresses",
+                                        .Fields = {{"Peridot-Key", "secret"}}})
+            .Body;
+    const std::size_t Near = Body.find("\"vm-1\"");
+    const std::size_t Far = Body.find("\"vm-2\"");
+    return Far != std::string::npos && Near < Far;
+  });
+}
