Count requests in one series that burn reads back

Cause: the callers' meters and the burn report each defined how a request ends, with different labels; the merged tree did not build, and burn would have read none of the counters.

Ruled out: two series for services and accounts (every request counted twice).

Conclusion: state/burn owns the labels; peridot_requests_total carries service, account and outcome.

--- a/src/state/burn/internal/request_series.cpp
+++ b/src/state/burn/internal/request_series.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+std::string label(std::string_view Name, std::string_view Value) {
+  return std::string(Name).append("=\"").append(Value).append("\"");
+}
+
 std::string_view labelValue(std::string_view Labels, std::string_view Name) {
   const std::string Prefix = std::string(Name) + "=\"";
   const std::size_t Start = Labels.find(Prefix);
@@ -13,23 +17,63 @@
   return Rest.substr(0, Rest.find('"'));
 }
 
+std::optional<request_end> endNamed(std::string_view Name) {
+  for (std::size_t Index = 0; Index < RequestEndCount; ++Index)
+    if (nameOf(static_cast<request_end>(Index)) == Name)
+      return static_cast<request_end>(Index);
+  return std::nullopt;
+}
+
 } // namespace
 
+std::string_view nameOf(request_end End) {
+  switch (End) {
+  case request_end::Answered:
+    return "answered";
+  case request_end::AnsweredError:
+    return "answered-error";
+  case request_end::NotRun:
+    return "not-run";
+  case request_end::Unknown:
+    return "unknown";
+  case request_end::Cancelled:
+    return "cancelled";
+  case request_end::RateExceeded:
+    return "rate-exceeded";
+  }
+  return "unknown";
+}
+
+request_totals budgetOf(request_end End) {
+  switch (End) {
+  case request_end::Answered:
+    return {.Good = 1};
+  case request_end::AnsweredError:
+  case request_end::NotRun:
+  case request_end::Unknown:
+    return {.Bad = 1};
+  case request_end::Cancelled:
+  case request_end::RateExceeded:
+    return {};
+  }
+  return {};
+}
+
 std::string requestLabels(const burn_subject &Subject, request_end End) {
-  return "service=\"" + Subject.Service.str() + "\",account=\"" +
-         Subject.Account.str() + "\",end=\"" +
-         (End == request_end::Good ? "good" : "bad") + "\"";
+  return label("service", Subject.Service.view()) + "," +
+         label("account", Subject.Account.view()) + "," +
+         label("outcome", nameOf(End));
 }
 
 std::optional<request_series> parseRequestLabels(std::string_view Labels) {
   const std::string_view Service = labelValue(Labels, "service");
-  const std::string_view End = labelValue(Labels, "end");
-  if (Service.empty() || (End != "good" && End != "bad"))
+  const auto End = endNamed(labelValue(Labels, "outcome"));
+  if (Service.empty() || !End)
     return std::nullopt;
   return request_series{
       .Subject = {service_name(Service),
                   account_name(labelValue(Labels, "account"))},
-      .End = End == "good" ? request_end::Good : request_end::Bad};
+      .End = *End};
 }
 
 } // namespace peridot
--- a/src/state/burn/tests/burn_ledger_test.cpp
+++ b/src/state/burn/tests/burn_ledger_test.cpp
@@ -46,9 +46,9 @@
 
 TEST_CASE_FIXTURE(burn_fixture, "parseRequestLabels_ownLabels_sameAgain") {
   const auto Series =
-      parseRequestLabels(requestLabels(Subject, request_end::Bad));
+      parseRequestLabels(requestLabels(Subject, request_end::NotRun));
   REQUIRE(Series);
   CHECK(Series->Subject == Subject);
-  CHECK(Series->End == request_end::Bad);
+  CHECK(Series->End == request_end::NotRun);
   CHECK_FALSE(parseRequestLabels("kind=\"x\""));
 }
--- a/src/state/metrics/metrics_registry.h
+++ b/src/state/metrics/metrics_registry.h
@@ -48,7 +48,7 @@
 };
 
 /// Name and label of one time series, for example
-/// {"peridot_requests_total", "kind=\"rate-exceeded\""}.
+/// {"peridot_refusals_total", "kind=\"rate-exceeded\""}.
 struct series_name {
   std::string Metric;
   std::string Labels;
--- a/src/transport/callers/internal/request_meters.cpp
+++ b/src/transport/callers/internal/request_meters.cpp
@@ -10,30 +10,10 @@
 
 } // namespace
 
-std::string_view nameOf(request_end End) {
-  switch (End) {
-  case request_end::Answered:
-    return "answered";
-  case request_end::AnsweredError:
-    return "answered-error";
-  case request_end::NotRun:
-    return "not-run";
-  case request_end::Unknown:
-    return "unknown";
-  case request_end::Cancelled:
-    return "cancelled";
-  case request_end::RateExceeded:
-    return "rate-exceeded";
-  }
-  return "unknown";
-}
-
 void request_meters::record(request_end End,
                             std::chrono::nanoseconds Elapsed) const {
   const auto Index = static_cast<std::size_t>(End);
-  OfService[Index]->add();
-  if (OfAccount[Index])
-    OfAccount[Index]->add();
+  Requests[Index]->add();
   Latency->record(Elapsed);
 }
 
@@ -51,23 +31,19 @@
 }
 
 request_meters request_meter_cache::lookUp(const admitted_request &Admitted) {
-  const std::string Service = label("service", Admitted.Service->Name.view());
-  const std::string Account =
-      Admitted.Account ? "," + label("account", Admitted.Account->Name.view())
-                       : "";
+  const burn_subject Subject{Admitted.Service->Name,
+                             Admitted.Account ? Admitted.Account->Name
+                                              : account_name()};
   request_meters Found;
-  for (std::size_t Index = 0; Index < RequestEndCount; ++Index) {
-    const std::string Outcome =
-        "," + label("outcome", nameOf(static_cast<request_end>(Index)));
-    Found.OfService[Index] =
-        &Registry.counterOf("peridot_requests_total", Service + Outcome);
-    if (Admitted.Account)
-      Found.OfAccount[Index] = &Registry.counterOf(
-          "peridot_account_requests_total", Service + Account + Outcome);
-  }
-  Found.Latency = &Registry.histogramOf(
-      "peridot_request_latency",
-      Service + "," + label("route", Admitted.Route->PathPrefix) + Account);
+  for (std::size_t Index = 0; Index < RequestEndCount; ++Index)
+    Found.Requests[Index] = &Registry.counterOf(
+        RequestsMetric,
+        requestLabels(Subject, static_cast<request_end>(Index)));
+  Found.Latency =
+      &Registry.histogramOf("peridot_request_latency",
+                            label("service", Subject.Service.view()) + "," +
+                                label("account", Subject.Account.view()) + "," +
+                                label("route", Admitted.Route->PathPrefix));
   return Found;
 }
 
--- a/src/transport/callers/request_meters.h
+++ b/src/transport/callers/request_meters.h
@@ -7,28 +7,14 @@
 #include <unordered_map>
 
 #include "coordination/routing/admission.h"
+#include "state/burn/request_series.h"
 #include "state/metrics/metrics_registry.h"
 
 namespace peridot {
 
-/// How a request that was admitted ended, as counted for its service.
-enum class request_end {
-  Answered,      ///< A whole answer below 500.
-  AnsweredError, ///< A whole answer of 500 or above.
-  NotRun,        ///< Refused; no target ran it.
-  Unknown,       ///< Refused or cut; a target may have run it.
-  Cancelled,     ///< The caller went away.
-  RateExceeded,  ///< Refused because the account was above its rate.
-};
-inline constexpr std::size_t RequestEndCount = 6;
-
-/// Value of the label \c outcome.
-std::string_view nameOf(request_end End);
-
 /// Series of one service, route and account; owned by the registry.
 struct request_meters {
-  std::array<counter *, RequestEndCount> OfService{};
-  std::array<counter *, RequestEndCount> OfAccount{}; ///< Null on open routes.
+  std::array<counter *, RequestEndCount> Requests{};
   latency_histogram *Latency = nullptr;
 
   void record(request_end End, std::chrono::nanoseconds Elapsed) const;
--- a/src/transport/node/internal/burn_driver.cpp
+++ b/src/transport/node/internal/burn_driver.cpp
@@ -31,9 +31,9 @@
     Last = Reading.Value;
     if (New == 0)
       continue;
-    const bool Good = Series->End == request_end::Good;
-    Ledger.add(Series->Subject, {.Good = Good ? New : 0, .Bad = Good ? 0 : New},
-               Now);
+    const request_totals Each = budgetOf(Series->End);
+    if (Each != request_totals{})
+      Ledger.add(Series->Subject, {New * Each.Good, New * Each.Bad}, Now);
   }
 }
 
--- a/tests/integration/caller_answers_test.cpp
+++ b/tests/integration/caller_answers_test.cpp
@@ -54,7 +54,9 @@
   const std::string Answer = sendRaw(RawGet);
   CHECK(Answer.find("queen") != Answer.npos);
   CHECK(Answer.find("0\r\n\r\n") == Answer.npos);
-  awaitMetric("peridot_requests_total{service=\"raw\",outcome=\"unknown\"}", 1);
+  awaitMetric("peridot_requests_total{service=\"raw\",account=\"\",outcome="
+              "\"unknown\"}",
+              1);
 }
 
 TEST_CASE_FIXTURE(caller_answers_fixture,
@@ -167,7 +169,8 @@
     awaitCondition("the target to run it",
                    [&] { return target().executions() != "[]"; });
   }
-  awaitMetric("peridot_requests_total{service=\"hive\",outcome=\"cancelled\"}",
+  awaitMetric("peridot_requests_total{service=\"hive\",account=\"\",outcome="
+              "\"cancelled\"}",
               1);
 }
 
@@ -180,7 +183,7 @@
   CHECK(Answer.Status == 200);
   CHECK(target().executions() ==
         R"([{"request_id":"","account":"keepers","saw_key":false}])");
-  CHECK(metric("peridot_account_requests_total{service=\"hive\","
+  CHECK(metric("peridot_requests_total{service=\"hive\","
                "account=\"keepers\",outcome=\"answered\"}") == 1);
 }
 
