Let an owner that cannot renew its lease hand over

Cause: with only the answers to an owner cut, its questions kept the witnesses' promises alive; nobody acted for its shards. Seen failing first: owner_answersCutOneWay_isReplaced, 210 of 256 shards. An owner whose lease has been lost for one length now reads the map, as proof that the platform is there, and releases its shards.

--- a/src/coordination/ownership/internal/owner_part.cpp
+++ b/src/coordination/ownership/internal/owner_part.cpp
@@ -34,6 +34,11 @@
   if (HeldLease && !Holds && Shards > 0)
     Effects.emplace_back(lease_lost{Shards});
   HeldLease = Holds;
+  if (Holds || Shards == 0)
+    LapsedSince = Now;
+  // Answers may be cut while questions arrive, which keeps the witnesses'
+  // promises alive. Whoever cannot act hands over, if the platform is there.
+  Resigning = !Leaving && Now - LapsedSince > Options.Lease.Length;
 }
 
 std::size_t ownership_machine::wantedWitnesses() const {
@@ -139,13 +144,13 @@
 }
 
 void ownership_machine::releaseTo(shard_number Shard, const vm_name &Successor,
-                                  instant Now) {
+                                  release_cause Cause, instant Now) {
   const shard_term Term{Shard, Map.at(Shard)->Epoch};
   Handovers.insert_or_assign(Term, handover{Successor, Now});
-  Effects.emplace_back(shard_released{Term, Successor});
+  Effects.emplace_back(shard_released{Term, Successor, Cause});
 }
 
-void ownership_machine::releaseAll(instant Now) {
+void ownership_machine::releaseAll(release_cause Cause, instant Now) {
   bool Released = false;
   for (const shard_number Shard : ownShards()) {
     const auto Handed = Handovers.find({Shard, Map.at(Shard)->Epoch});
@@ -155,7 +160,7 @@
     const auto Successor = chooseOwner(Shard, Members, Options.Self.Vm);
     if (!Successor)
       continue;
-    releaseTo(Shard, *Successor, Now);
+    releaseTo(Shard, *Successor, Cause, Now);
     Released = true;
   }
   if (Released)
@@ -176,7 +181,7 @@
   for (const shard_number Shard : Own) {
     const auto Successor = chooseOwner(Shard, Members, {});
     if (Successor && *Successor != Options.Self.Vm && !isHandedOver(Shard))
-      releaseTo(Shard, *Successor, Now);
+      releaseTo(Shard, *Successor, release_cause::UnevenSpread, Now);
   }
 }
 
--- a/src/coordination/ownership/internal/ownership_machine.cpp
+++ b/src/coordination/ownership/internal/ownership_machine.cpp
@@ -51,6 +51,8 @@
   NeedsRead = false;
   adopt(Event.Version, Event.Map);
   requestLapses(Now);
+  if (Resigning)
+    releaseAll(release_cause::LeaseLost, Now);
 }
 
 void ownership_machine::accept(const shard_map_write_ended &Event,
@@ -79,14 +81,14 @@
 
 void ownership_machine::accept(const lease_tick &, instant Now) {
   noteLease(Now);
-  if (NeedsRead && Now >= NextRead) {
+  if ((NeedsRead || Resigning) && Now >= NextRead) {
     NextRead = Now + Options.Lease.AskPeriod / 2;
     Effects.emplace_back(read_shard_map{});
   }
   if (!MapIsKnown || Members.empty())
     return;
   if (Leaving)
-    releaseAll(Now);
+    releaseAll(release_cause::Leaving, Now);
   else
     writeIfDue(Now);
   if (Now < NextAsk)
@@ -101,7 +103,7 @@
 
 void ownership_machine::accept(const leave_started &, instant Now) {
   Leaving = true;
-  releaseAll(Now);
+  releaseAll(release_cause::Leaving, Now);
 }
 
 void ownership_machine::adopt(std::uint64_t Version, shard_map Adopted) {
--- a/src/coordination/ownership/ownership_machine.h
+++ b/src/coordination/ownership/ownership_machine.h
@@ -85,8 +85,9 @@
   bool isEnough(std::span<const vm_incarnation> Proposed, instant Now);
   void write(std::span<const shard_number> Claims, const witness_set &Witnesses,
              instant Now);
-  void releaseTo(shard_number Shard, const vm_name &Successor, instant Now);
-  void releaseAll(instant Now);
+  void releaseTo(shard_number Shard, const vm_name &Successor,
+                 release_cause Cause, instant Now);
+  void releaseAll(release_cause Cause, instant Now);
   void rebalance(instant Now);
   void repeatReleases(instant Now);
 
@@ -130,6 +131,8 @@
   duration RetrySpread;
   instant ShortSince; ///< Since when witnesses are too few; zero: they are not.
   bool HeldLease = false;
+  instant LapsedSince;
+  bool Resigning = false; ///< The lease has been lost for long.
   bool Leaving = false;
   std::map<shard_term, handover> Handovers;
   std::map<vm_incarnation, instant> BlockedSince;
--- a/src/coordination/ownership/tests/lease_schedule.cpp
+++ b/src/coordination/ownership/tests/lease_schedule.cpp
@@ -75,7 +75,7 @@
 void lease_schedule::recordList() {
   std::vector<member> List;
   for (std::size_t Vm = 0; Vm < Vms.size(); ++Vm)
-    if (Vms[Vm].Listed)
+    if (Vms[Vm].Listed && FalselyDropped != Vm)
       List.push_back({.Vm = Vms[Vm].Id.Vm,
                       .DataCenter = data_center_name(
                           std::string(1, static_cast<char>('a' + Vm % 3)))});
@@ -226,6 +226,12 @@
   case fault_kind::Isolate:
     ++Isolated[Fault.Vm];
     return;
+  case fault_kind::FalseDrop:
+    if (!FalselyDropped) {
+      FalselyDropped = Fault.Vm;
+      recordList();
+    }
+    return;
   }
 }
 
@@ -260,6 +266,12 @@
   case fault_kind::Isolate:
     --Isolated[Fault.Vm];
     return;
+  case fault_kind::FalseDrop:
+    if (FalselyDropped == Fault.Vm) {
+      FalselyDropped.reset();
+      recordList();
+    }
+    return;
   }
 }
 
--- a/src/coordination/ownership/tests/lease_schedule.h
+++ b/src/coordination/ownership/tests/lease_schedule.h
@@ -27,6 +27,7 @@
   CutPlatform,  ///< Platform unreachable for one VM.
   CutOneWay,    ///< Messages from the VM to the other one are lost.
   Isolate,      ///< No messages to or from the VM.
+  FalseDrop,    ///< The list lacks the running VM; one at a time.
 };
 
 struct schedule_fault {
@@ -114,6 +115,7 @@
   std::vector<std::pair<duration, std::vector<member>>> Lists;
   int PlatformDown = 0;
   int LosingAnswers = 0;
+  std::optional<std::size_t> FalselyDropped;
   std::vector<int> PlatformCut;
   std::vector<int> Isolated;
   std::map<std::pair<std::size_t, std::size_t>, int> Cut;
--- a/src/coordination/ownership/tests/owner_lease_test.cpp
+++ b/src/coordination/ownership/tests/owner_lease_test.cpp
@@ -113,3 +113,10 @@
   run(4s, {"w3", "w4"});
   CHECK(acts());
 }
+
+TEST_CASE("leaseOptions_clocksDrift4Percent_rightEndsBeforePromise") {
+  const lease_options Lease;
+  const auto Slowest = std::chrono::duration<double>(Lease.validity()) / 0.96;
+  const auto Fastest = std::chrono::duration<double>(Lease.promise()) / 1.04;
+  CHECK(Slowest < Fastest);
+}
--- a/src/coordination/ownership/tests/ownership_recovery_test.cpp
+++ b/src/coordination/ownership/tests/ownership_recovery_test.cpp
@@ -96,3 +96,17 @@
   CHECK(Schedule.actingShards(2) == 0);
   CHECK(Schedule.actingShards() == ShardCount);
 }
+
+TEST_CASE_FIXTURE(recovery_fixture, "owner_answersCutOneWay_isReplaced") {
+  std::vector<schedule_fault> Faults;
+  for (std::size_t Vm = 0; Vm < 5; ++Vm)
+    if (Vm != 1)
+      Faults.push_back({.Kind = fault_kind::CutOneWay,
+                        .Vm = Vm,
+                        .Other = 1,
+                        .At = FaultAt,
+                        .Length = 100s});
+  const lease_schedule Schedule = scheduleWith(Faults);
+  CHECK(Schedule.actingShards(1) == 0);
+  CHECK(Schedule.actingShards() == ShardCount);
+}
--- a/src/coordination/ownership/tests/ownership_safety_test.cpp
+++ b/src/coordination/ownership/tests/ownership_safety_test.cpp
@@ -16,7 +16,7 @@
   return rc::gen::build<schedule_fault>(
       rc::gen::set(
           &schedule_fault::Kind,
-          rc::gen::map(rc::gen::inRange(0, 9),
+          rc::gen::map(rc::gen::inRange(0, 10),
                        [](int Kind) { return static_cast<fault_kind>(Kind); })),
       rc::gen::set(&schedule_fault::Vm,
                    rc::gen::inRange<std::size_t>(0, VmCount)),
--- a/src/coordination/ownership/types/ownership_events.h
+++ b/src/coordination/ownership/types/ownership_events.h
@@ -69,10 +69,13 @@
   vm_incarnation Before; ///< Empty name if the shard had no owner.
 };
 
+enum class release_cause { Leaving, LeaseLost, UnevenSpread };
+
 /// This VM has stopped acting for a term in favour of \p Successor.
 struct shard_released {
   shard_term Term;
   vm_name Successor;
+  release_cause Cause = release_cause::Leaving;
 };
 
 /// The witnesses did not confirm in time: this VM does not act any more.
--- a/src/transport/node/internal/ownership_driver.cpp
+++ b/src/transport/node/internal/ownership_driver.cpp
@@ -28,6 +28,18 @@
   return Id.Vm.str() + "/" + std::to_string(Id.Incarnation.Value);
 }
 
+std::string_view textOf(release_cause Cause) {
+  switch (Cause) {
+  case release_cause::Leaving:
+    return "this VM is leaving";
+  case release_cause::LeaseLost:
+    return "this VM could not renew its lease";
+  case release_cause::UnevenSpread:
+    return "this VM owns more than its part";
+  }
+  return "";
+}
+
 } // namespace
 
 ownership_driver::ownership_driver(control_context &Context)
@@ -113,8 +125,7 @@
       {.Kind = decision_kind::ShardReleased,
        .Subject = subject_kind::Shard,
        .Name = std::to_string(Effect.Term.Shard.Value),
-       .Cause = LeaveIsKnown ? "this VM is leaving"
-                             : "this VM owns more than its part",
+       .Cause = std::string(textOf(Effect.Cause)),
        .Evidence = "epoch " + std::to_string(Effect.Term.Epoch.Value) +
                    ", successor " + Effect.Successor.str(),
        .Rule = "an owner stops acting before its successor claims"});
--- a/tests/integration/ownership_test.cpp
+++ b/tests/integration/ownership_test.cpp
@@ -9,10 +9,14 @@
 constexpr int AllShards = 256;
 
 struct ownership_fixture : fleet_fixture {
-  explicit ownership_fixture(int Count = 5) {
+  explicit ownership_fixture(bool WithProxies = false) {
     const char *DataCenters[] = {"lakes-a", "lakes-b", "lakes-c"};
-    for (int Index = 0; Index < Count; ++Index)
-      addNode("vm-" + std::to_string(Index), DataCenters[Index % 3]);
+    for (int Index = 0; Index < 5; ++Index) {
+      running_node &Node =
+          addNode("vm-" + std::to_string(Index), DataCenters[Index % 3]);
+      if (WithProxies)
+        addPeerProxy(Node);
+    }
     listNodes();
   }
 
@@ -60,6 +64,26 @@
   }
 };
 
+/// Peer links run through fault proxies, one before each node.
+struct cut_fixture : ownership_fixture {
+  cut_fixture() : ownership_fixture(true) { awaitAllOwned(); }
+
+  /// Frames of vm-0 reach nobody.
+  void cutFromFirst() const {
+    for (std::size_t Index = 1; Index < Proxies.size(); ++Index)
+      Proxies[Index]->setFaults("label=vm-0&forward_cut=1");
+  }
+
+  /// Frames of nobody reach vm-0.
+  void cutToFirst() const { Proxies[0]->setFaults("label=*&forward_cut=1"); }
+
+  void awaitReplacement() const {
+    Nodes[0]->Process->awaitLine("\"lease-lost\"");
+    awaitAllOwned(Nodes[0].get());
+    CHECK(status(*Nodes[0], "shards_acting") == 0);
+  }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(ownership_fixture, "fleet_started_eachShardHasOneOwner") {
@@ -138,3 +162,19 @@
   Nodes[0]->Process->signal(SIGKILL);
   awaitAllOwned(Nodes[0].get());
 }
+
+TEST_CASE_FIXTURE(cut_fixture, "owner_cutOff_stopsAndIsReplaced") {
+  cutFromFirst();
+  cutToFirst();
+  awaitReplacement();
+}
+
+TEST_CASE_FIXTURE(cut_fixture, "owner_questionsCutOneWay_stopsAndIsReplaced") {
+  cutFromFirst();
+  awaitReplacement();
+}
+
+TEST_CASE_FIXTURE(cut_fixture, "owner_answersCutOneWay_stopsAndIsReplaced") {
+  cutToFirst();
+  awaitReplacement();
+}
