Let requests wait their turn for a slot; return tokens early

Cause: requests were refused when all slots ran, tokens of a shrunk share were lost, and a grant under way while tokens were being returned could count them twice. Conclusion: fair queue in front of the slots; excess tokens go back with the confirmation; grants that answer requests from before a return are ignored.

--- a/src/coordination/limits/borrowing_machine.h
+++ b/src/coordination/limits/borrowing_machine.h
@@ -46,6 +46,11 @@
     pool_limit InUse;     ///< Granted, cut to this VM's own configuration.
     instant ValidUntil;
     instant AskedAt;
+    /// Tokens that a smaller share has no room for, until they are returned.
+    double Excess = 0;
+    /// When tokens were returned last. Grants that answer earlier requests are
+    /// ignored: their owner did not know yet that tokens were under way.
+    instant ReturnedAt;
     bool AnswerDue = false; ///< A new share must be confirmed to the owner.
   };
   struct account_entry {
--- a/src/coordination/limits/internal/borrowing_machine.cpp
+++ b/src/coordination/limits/internal/borrowing_machine.cpp
@@ -2,15 +2,16 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace peridot {
 
 namespace {
 
 /// Time over which demand is smoothed.
-constexpr std::chrono::milliseconds DemandWindow{500};
+constexpr std::chrono::milliseconds DemandWindow{300};
 /// Least time between two requests for a share that is too small.
-constexpr std::chrono::milliseconds HungryPause{300};
+constexpr std::chrono::milliseconds HungryPause{100};
 /// Time between two requests for a reserve that was not granted.
 constexpr std::chrono::seconds ReservePause{10};
 /// Demand below which a share is given back, in requests per second.
@@ -132,12 +133,13 @@
                         .Epoch = Owner,
                         .DeadBelow = Share.DeadBelow,
                         .Demand = Entry.Demand,
-                        .Level = Bucket.level(Now)};
+                        .Level = Bucket.level(Now),
+                        .Returned = std::exchange(Share.Excess, 0)};
   const bool Returns = Pool == pool_kind::Main && Entry.Demand < IdleDemand;
   if (Returns) {
     Request.Demand = 0;
     Request.Level = 0;
-    Request.Returned = Bucket.close(Now);
+    Request.Returned += Bucket.close(Now);
     Share.InUse = {};
     Share.DeadBelow = Share.Version.next();
     Request.DeadBelow = Share.DeadBelow;
@@ -147,6 +149,8 @@
     Request.Level = 0;
     Request.Returned = 0;
   }
+  if (Request.Returned > 0)
+    Share.ReturnedAt = Now;
   Share.AskedAt = Now;
   Share.AnswerDue = false;
   if (Pool == pool_kind::Main)
@@ -201,6 +205,8 @@
   if (SameEpoch &&
       Grant.Version < std::max(Share.Version.next(), Share.DeadBelow))
     return;
+  if (SameEpoch && RequestedAt < Share.ReturnedAt)
+    return;
   // A new owner that does not lend yet takes nothing away.
   if (!SameEpoch && Grant.Rate <= 0 && inUse(Share, Now))
     return;
@@ -217,7 +223,9 @@
   Share.ValidUntil = ValidUntil;
   Share.InUse = {Grant.Rate * cutFactor(Entry.Limit.Rate, Grant.LimitRate),
                  Grant.Burst * cutFactor(Entry.Limit.Burst, Grant.LimitBurst)};
-  Bucket.open({Share.InUse, Kept + Grant.Tokens, ValidUntil}, Now);
+  const double Level = Kept + Grant.Tokens;
+  Share.Excess = std::max(0.0, Level - Share.InUse.Burst);
+  Bucket.open({Share.InUse, Level, ValidUntil}, Now);
 }
 
 } // namespace peridot
--- a/src/coordination/limits/internal/share_directory.cpp
+++ b/src/coordination/limits/internal/share_directory.cpp
@@ -27,7 +27,8 @@
   Refusals.fetch_add(1, std::memory_order_relaxed);
   const instant Next = std::min(Main.nextToken(Now), Reserve.nextToken(Now));
   if (Next == instant::max())
-    return rate_refused{UnknownShareDelay};
+    return rate_refused{.RetryAfter = UnknownShareDelay,
+                        .ShareRequested = true};
   return rate_refused{std::chrono::ceil<std::chrono::milliseconds>(Next - Now)};
 }
 
--- a/src/coordination/limits/types/rate_decision.h
+++ b/src/coordination/limits/types/rate_decision.h
@@ -13,6 +13,8 @@
 /// No share is left on this VM.
 struct rate_refused {
   std::chrono::milliseconds RetryAfter{0}; ///< When a share is expected.
+  /// This VM holds no share yet and has asked for one: worth a short wait.
+  bool ShareRequested = false;
 };
 
 using rate_decision = std::variant<rate_admitted, rate_refused>;
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -10,6 +10,7 @@
 #include "state/base/hashing.h"
 #include "state/base/types/overloaded.h"
 #include "transport/callers/internal/request_relay.h"
+#include "transport/callers/internal/service_queue.h"
 
 namespace peridot {
 
@@ -18,6 +19,11 @@
 
 namespace {
 
+/// Longest time that a request waits for this VM's first share of its account.
+constexpr std::chrono::milliseconds FirstShareWait{3'000};
+/// Time between two looks for that share.
+constexpr std::chrono::milliseconds FirstSharePoll{100};
+
 std::string_view toStd(beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -184,13 +190,28 @@
       encodeAddresses(Preferred, Worker.options().AddressTimeToLive), nullptr);
 }
 
+task<rate_decision> caller_session::takeRate(const client_account &Account) {
+  boost::asio::steady_timer Delay(Worker.loop());
+  const auto Limit = std::chrono::steady_clock::now() + FirstShareWait;
+  rate_decision Rate = Worker.takeRate(Account);
+  while (std::chrono::steady_clock::now() < Limit) {
+    const auto *Refused = std::get_if<rate_refused>(&Rate);
+    if (!Refused || !Refused->ShareRequested)
+      break;
+    Delay.expires_after(FirstSharePoll);
+    co_await Delay.async_wait(UseTaskTuple);
+    Rate = Worker.takeRate(Account);
+  }
+  co_return Rate;
+}
+
 task<bool> caller_session::forward(const admitted_request &Admitted,
                                    snapshot_ptr Snapshot) {
   const request_meters Meters =
       Worker.metersOf(Admitted, Snapshot->Configuration);
   const instant StartedAt = bootNow();
   if (Admitted.Account) {
-    const rate_decision Rate = Worker.takeRate(*Admitted.Account);
+    const rate_decision Rate = co_await takeRate(*Admitted.Account);
     if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
       const refusal Refusal{.Kind = refusal_kind::RateExceeded,
                             .Detail = "account " +
@@ -201,6 +222,9 @@
       co_return co_await refuse(Refusal);
     }
   }
+  const auto Turn = co_await Worker.queues().enter(Admitted, Snapshot);
+  if (const auto *Refused = std::get_if<refusal>(&Turn))
+    co_return co_await refuse(*Refused);
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
   const relay_result Result = co_await Relay.run(Admitted, *Snapshot);
   Meters.record(endOf(Result), bootNow() - StartedAt);
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -40,6 +40,9 @@
   /// Serves the request whose head was read; false to close the connection.
   task<bool> serveRequest();
   task<bool> answerAddresses();
+  /// Takes one request off the account's share; waits a little when this VM
+  /// has only just asked for one.
+  task<rate_decision> takeRate(const client_account &Account);
   task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
   task<bool> refuse(const refusal &Refusal);
   task<bool> sendText(unsigned Status, std::string ContentType,
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include "transport/callers/internal/caller_session.h"
+#include "transport/callers/internal/service_queue.h"
 #include "transport/logging/event_log.h"
 
 namespace peridot {
@@ -25,10 +26,13 @@
                                metrics_registry &Metrics,
                                const std::string &ThreadName)
     : Options(std::move(Chosen)), Metrics(Metrics), Targets(Options.Pool),
-      Meters(Metrics), Loop(ThreadName), Acceptor(Loop.context()),
-      Timers(Loop.context()) {}
+      Meters(Metrics), Queues(std::make_unique<service_queues>()),
+      Loop(ThreadName), Acceptor(Loop.context()), Timers(Loop.context()) {}
 
-traffic_worker::~traffic_worker() { Loop.stop(); }
+traffic_worker::~traffic_worker() {
+  Loop.stop();
+  Queues->close();
+}
 
 result<std::uint16_t> traffic_worker::listen(std::uint16_t SharedPort) {
   if (SharedPort != 0)
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -19,6 +19,8 @@
 
 namespace peridot {
 
+class service_queues;
+
 /// Limits on what a caller may send and hold.
 struct caller_limits {
   std::uint32_t MaxHeadBytes = 16U << 10U;
@@ -89,6 +91,7 @@
   }
   /// Learns how a request on a connection to a target ended.
   void noteConnection(const target_name &Target, const connection_event &Event);
+  service_queues &queues() { return *Queues; }
   boost::asio::io_context &loop() { return Loop.context(); }
   std::uint64_t random() { return Random(); }
   bool shuttingDown() const { return ShuttingDown; }
@@ -118,6 +121,8 @@
   std::atomic<std::size_t> Connections{0};
   std::size_t TurningAway = 0;
   bool ShuttingDown = false;
+  /// Outlives the loop, whose coroutines hold turns.
+  std::unique_ptr<service_queues> Queues;
   event_loop Loop;
   tcp_acceptor Acceptor;
   timer_service Timers;
--- a/src/transport/node/internal/limits_driver.cpp
+++ b/src/transport/node/internal/limits_driver.cpp
@@ -46,14 +46,14 @@
   account_share *Share = Directory.find(Account.Name);
   if (!Share) {
     Refused.add();
-    return rate_refused{PollPeriod};
+    return rate_refused{.RetryAfter = PollPeriod, .ShareRequested = true};
   }
   const instant Before = bootNow();
   rate_decision Decision = Share->take(Before);
   // The process may have been paused between the clock and the bucket.
   const instant After = bootNow();
   if (After - Before > LongTake && !Share->mainValidAt(After))
-    Decision = rate_refused{PollPeriod};
+    Decision = rate_refused{.RetryAfter = PollPeriod};
   if (std::holds_alternative<rate_refused>(Decision))
     Refused.add();
   return Decision;
@@ -64,6 +64,10 @@
   followMembers();
   Lender.handle(fleet_observed{Context.Ownership, Context.Members.Members},
                 Now);
+  askOwners(Now);
+}
+
+void limits_driver::askOwners(instant Now) {
   for (const addressed_requests &Each :
        Borrower.poll(Context.Ownership.Map, Now))
     send(Each.Owner, Each.Batch);
@@ -130,7 +134,10 @@
 
 void limits_driver::handle(const vm_incarnation & /*Sender*/,
                            const share_grant_batch &Batch) {
-  Borrower.receive(Batch, Context.Timers.now());
+  const instant Now = Context.Timers.now();
+  Borrower.receive(Batch, Now);
+  // Confirms smaller shares at once, so that others get the rest.
+  askOwners(Now);
 }
 
 } // namespace peridot
--- a/src/transport/node/internal/limits_driver.h
+++ b/src/transport/node/internal/limits_driver.h
@@ -21,6 +21,7 @@
 
 private:
   void poll(instant Now);
+  void askOwners(instant Now);
   void followConfiguration(instant Now);
   void followMembers();
   void send(const vm_name &Peer, const limits_message &Message);
--- a/tests/support/limits_schedule.h
+++ b/tests/support/limits_schedule.h
@@ -261,6 +261,7 @@
   }
   void receive(const sent_message &Sent, const share_grant_batch &Batch) {
     Vms[Sent.To].Borrower->receive(Batch, localNow(Sent.To));
+    poll(Sent.To);
   }
 
   static constexpr std::chrono::milliseconds ViewLag{700};
