Rebalance shares when a borrower lacks its due

Cause: a VM whose demand rose got its share only after several rounds. Conclusion: the owner enlarges and recalls shares unasked, a fall of demand is reported.

--- a/src/coordination/limits/borrowing_machine.h
+++ b/src/coordination/limits/borrowing_machine.h
@@ -46,6 +46,8 @@
     pool_limit InUse;     ///< Granted, cut to this VM's own configuration.
     instant ValidUntil;
     instant AskedAt;
+    /// Time from one request for a larger share to the next.
+    duration Pause = std::chrono::milliseconds(100);
     /// Tokens that a smaller share has no room for, until they are returned.
     double Excess = 0;
     /// When tokens were returned last. Grants that answer earlier requests are
@@ -62,8 +64,9 @@
     bool Home = false;
     std::uint64_t SeenAttempts = 0;
     std::uint64_t SeenRefusals = 0;
-    bool Refused = false; ///< Since the last request for a share.
-    double Demand = 0;    ///< Requests per second, smoothed.
+    bool Refused = false;      ///< Since the last request for a share.
+    double Demand = 0;         ///< Requests per second, smoothed.
+    double ReportedDemand = 0; ///< As the owner heard it last.
   };
 
   static borrowed_share &shareOf(account_entry &Entry, pool_kind Pool) {
--- a/src/coordination/limits/internal/borrowing_machine.cpp
+++ b/src/coordination/limits/internal/borrowing_machine.cpp
@@ -9,15 +9,23 @@
 namespace {
 
 /// Time over which demand is smoothed.
-constexpr std::chrono::milliseconds DemandWindow{300};
-/// Least time between two requests for a share that is too small.
-constexpr std::chrono::milliseconds HungryPause{100};
+constexpr std::chrono::milliseconds DemandWindow{250};
+/// Least time between two requests for a share that is too small; doubled for
+/// each request that brought no larger share.
+constexpr std::chrono::milliseconds LeastPause{100};
+constexpr std::chrono::milliseconds MostPause{400};
+/// Least time before a fall of demand is reported.
+constexpr std::chrono::milliseconds FallenPause{300};
+/// A fall of demand by this part of the account's rate is reported.
+constexpr double NoticeablePart = 0.1;
+/// A share has grown when its rate is above this multiple of the one before.
+constexpr double GrownFactor = 1.1;
 /// Time between two requests for a reserve that was not granted.
 constexpr std::chrono::seconds ReservePause{10};
 /// Demand below which a share is given back, in requests per second.
 constexpr double IdleDemand = 0.02;
-/// A share is too small when demand is above this part of its rate.
-constexpr double HungryPart = 0.95;
+/// A share is too small when demand is above this multiple of its rate.
+constexpr double HungryFactor = 1.5;
 /// Shares are renewed when less than this part of their term is left.
 constexpr double RenewalPart = 0.5;
 /// Allowance for limits that travel as 32-bit floats.
@@ -104,12 +112,16 @@
   if (Entry.Demand < IdleDemand)
     return Holds;
   const bool Hungry =
-      !Holds || Entry.Refused || Entry.Demand > Share.InUse.Rate * HungryPart;
+      !Holds || Entry.Refused || Entry.Demand > Share.InUse.Rate * HungryFactor;
   if (Hungry)
-    return Now >= Share.AskedAt + HungryPause;
+    return Now >= Share.AskedAt + Share.Pause;
+  const bool Fallen =
+      Entry.Demand + Entry.Limit.Rate * NoticeablePart < Entry.ReportedDemand;
+  if (Fallen && Now >= Share.AskedAt + FallenPause)
+    return true;
   const auto Term = static_cast<double>(Options.MainTerm.count());
   const duration Renewal(static_cast<duration::rep>(Term * RenewalPart));
-  return Share.ValidUntil - Now < Renewal && Now >= Share.AskedAt + HungryPause;
+  return Share.ValidUntil - Now < Renewal && Now >= Share.AskedAt + LeastPause;
 }
 
 bool borrowing_machine::reserveIsDue(const account_entry &Entry,
@@ -152,9 +164,13 @@
   if (Request.Returned > 0)
     Share.ReturnedAt = Now;
   Share.AskedAt = Now;
+  Share.Pause = Entry.Refused ? std::min<duration>(2 * Share.Pause, MostPause)
+                              : LeastPause;
   Share.AnswerDue = false;
-  if (Pool == pool_kind::Main)
+  if (Pool == pool_kind::Main) {
     Entry.Refused = false;
+    Entry.ReportedDemand = Request.Demand;
+  }
   return Request;
 }
 
@@ -218,6 +234,8 @@
   Share.DeadBelow = Grant.Version;
   // Confirms a smaller share, so that the owner can lend the rest.
   Share.AnswerDue = Grant.Rate < Share.InUse.Rate;
+  if (Grant.Rate > Share.InUse.Rate * GrownFactor)
+    Share.Pause = LeastPause;
   Share.Granted = {Grant.Rate, Grant.Burst};
   Share.GrantedOf = {Grant.LimitRate, Grant.LimitBurst};
   Share.ValidUntil = ValidUntil;
--- a/src/coordination/limits/internal/lending_machine.cpp
+++ b/src/coordination/limits/internal/lending_machine.cpp
@@ -156,11 +156,10 @@
       .Batch.Grants.push_back(complete(Grant, Entry, Request.Pool, Epoch));
   if (Request.Pool == pool_kind::Reserve)
     return;
-  for (const share_recall &Recall :
-       Pool.recall(Event.Borrower, RecallPause, Now))
-    batchFor(Out, Recall.Borrower, Recall.RequestedAt)
+  for (const share_change &Change : Pool.rebalance(RecallPause, Now))
+    batchFor(Out, Change.Borrower, Change.RequestedAt)
         .Batch.Grants.push_back(
-            complete(Recall.Grant, Entry, Request.Pool, Epoch));
+            complete(Change.Grant, Entry, Request.Pool, Epoch));
 }
 
 } // namespace peridot
--- a/src/coordination/limits/internal/lending_pool.cpp
+++ b/src/coordination/limits/internal/lending_pool.cpp
@@ -16,8 +16,8 @@
 constexpr double LeastUsefulBurst = 1;
 /// Shares with a lower rate, per second, are not lent.
 constexpr double LeastUsefulRate = 1e-3;
-/// A share above its due by this factor is recalled when another lacks.
-constexpr double RecallExcess = 1.1;
+/// Shares that differ from what is due by less than this factor are left alone.
+constexpr double NoticeableFactor = 1.25;
 /// Shares of one borrower that are told apart; older ones are merged.
 constexpr std::size_t MaxLentShares = 8;
 
@@ -162,6 +162,7 @@
   Account.Demand = std::max(0.0, Request.Demand);
   Account.DemandUntil = Now + Hold;
   Account.RequestedAt = RequestedAt;
+  Account.Level = std::max(0.0, Request.Level);
   const pool_limit Due = std::visit(
       overloaded{[&](const split_by_demand &) { return due(Account); },
                  [&](const split_equally &Equal) {
@@ -172,36 +173,58 @@
   pool_limit Share = usable(smaller(Due, available(Account)));
   if (Now < UsableFrom)
     Share = {};
-  const double Missing = Share.Burst - std::max(0.0, Request.Level);
+  const double Missing = Share.Burst - Account.Level;
   const double Tokens = roundDown(std::clamp(Missing, 0.0, Level));
   return record(Account, Share, Tokens, Now + Hold);
 }
 
-std::vector<share_recall> lending_pool::recall(const vm_incarnation &Starved,
-                                               duration Pause, instant Now) {
-  std::vector<share_recall> Recalls;
-  const auto Found = Borrowers.find(Starved);
-  if (Found == Borrowers.end())
-    return Recalls;
-  const pool_limit Wanted = due(Found->second);
-  const pool_limit Free = available(Found->second);
-  if (Free.Rate >= Wanted.Rate / RecallExcess &&
-      Free.Burst >= Wanted.Burst / RecallExcess)
-    return Recalls;
-  for (auto &[Borrower, Account] : Borrowers) {
-    const pool_limit Due = due(Account);
-    const pool_limit Held = heldBy(Account);
-    const bool Excess = Held.Rate > Due.Rate * RecallExcess ||
-                        Held.Burst > Due.Burst * RecallExcess;
-    if (Borrower == Starved || !Excess || Now < Account.RecalledAt + Pause)
-      continue;
-    Account.RecalledAt = Now;
-    // The smaller share ends no later than the one it replaces.
-    const instant Until = Account.Lent.back().HeldUntil;
-    Recalls.push_back({Borrower, Account.RequestedAt,
-                       record(Account, usable(smaller(Due, Held)), 0, Until)});
-  }
-  return Recalls;
+bool lending_pool::borrower_account::lacks(const pool_limit &Due) const {
+  const pool_limit Now = Lent.empty() ? pool_limit{} : Lent.back().Share;
+  return Now.Rate * NoticeableFactor < Due.Rate;
+}
+
+void lending_pool::enlarge(entry &Entry, std::vector<share_change> &Out) {
+  borrower_account &Account = Entry.second;
+  const pool_limit Share = usable(smaller(due(Account), available(Account)));
+  if (Account.Lent.empty() || !Account.lacks(Share))
+    return;
+  const double Missing = Share.Burst - Account.Level;
+  const double Tokens = roundDown(std::clamp(Missing, 0.0, Level));
+  // An unasked share ends no later than the one it replaces.
+  const instant Until = Account.Lent.back().HeldUntil;
+  Out.push_back({Entry.first, Account.RequestedAt,
+                 record(Account, Share, Tokens, Until)});
+}
+
+void lending_pool::recall(entry &Entry, duration Pause, instant Now,
+                          std::vector<share_change> &Out) {
+  borrower_account &Account = Entry.second;
+  const pool_limit Due = due(Account);
+  const pool_limit Held = heldBy(Account);
+  const bool Excess = Held.Rate > Due.Rate * NoticeableFactor ||
+                      Held.Burst > Due.Burst * NoticeableFactor;
+  if (!Excess || Now < Account.RecalledAt + Pause)
+    return;
+  Account.RecalledAt = Now;
+  const instant Until = Account.Lent.back().HeldUntil;
+  Out.push_back({Entry.first, Account.RequestedAt,
+                 record(Account, usable(smaller(Due, Held)), 0, Until)});
+}
+
+std::vector<share_change> lending_pool::rebalance(duration Pause, instant Now) {
+  std::vector<share_change> Changes;
+  if (Now < UsableFrom)
+    return Changes;
+  for (entry &Entry : Borrowers)
+    enlarge(Entry, Changes);
+  const bool Lacking = std::ranges::any_of(Borrowers, [&](const entry &Entry) {
+    return Entry.second.lacks(due(Entry.second));
+  });
+  if (!Lacking)
+    return Changes;
+  for (entry &Entry : Borrowers)
+    recall(Entry, Pause, Now, Changes);
+  return Changes;
 }
 
 } // namespace peridot
--- a/src/coordination/limits/lending_pool.h
+++ b/src/coordination/limits/lending_pool.h
@@ -29,8 +29,8 @@
   bool Full = false;  ///< False: fills from nothing.
 };
 
-/// A borrower whose share should shrink so that another gets its due.
-struct share_recall {
+/// A share that changes without having been asked for.
+struct share_change {
   vm_incarnation Borrower;
   instant RequestedAt; ///< On the borrower's clock.
   share_grant Grant;
@@ -50,10 +50,10 @@
                    instant RequestedAt, const split_policy &Policy,
                    duration Hold, instant Now);
 
-  /// Smaller shares for borrowers that hold much more than their due while
-  /// \p Starved got less than its due. Each is asked once per \p Pause.
-  std::vector<share_recall> recall(const vm_incarnation &Starved,
-                                   duration Pause, instant Now);
+  /// Larger shares for borrowers that got less than their due, as far as there
+  /// is room; and smaller ones for those that hold much more than their due
+  /// while others lack. A borrower is recalled from once per \p Pause.
+  std::vector<share_change> rebalance(duration Pause, instant Now);
 
   /// Tokens that can be lent now.
   double level() const { return Level; }
@@ -72,12 +72,19 @@
     instant DemandUntil;
     instant RequestedAt;
     instant RecalledAt;
+    double Level = 0; ///< Tokens left, as last reported.
+
+    bool lacks(const pool_limit &Due) const;
   };
+  using entry = std::map<vm_incarnation, borrower_account>::value_type;
 
   void advance(instant Now);
   void settle(borrower_account &Account, const share_request &Request);
   pool_limit due(const borrower_account &Account) const;
   pool_limit available(const borrower_account &Account) const;
+  void enlarge(entry &Entry, std::vector<share_change> &Out);
+  void recall(entry &Entry, duration Pause, instant Now,
+              std::vector<share_change> &Out);
   static pool_limit heldBy(const borrower_account &Account);
   double wantOf(const borrower_account &Account) const;
   share_grant record(borrower_account &Account, pool_limit Share, double Tokens,
