--- a/src/coordination/health/internal/service_verdict_rules.cpp
+++ b/src/coordination/health/internal/service_verdict_rules.cpp
@@ -117,8 +117,12 @@
 }
 
 void service_health::expireAvoidance(target_record &Target, instant Now) {
-  std::erase_if(Target.AvoidedUntil,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(Target.AvoidedUntil, [&](const auto &Entry) {
+    const bool Ended = Entry.second <= Now;
+    if (Ended)
+      Target.Evidence.forget(Entry.first);
+    return Ended;
+  });
 }
 
 void service_health::eject(target_record &Target, instant Now) {
--- a/src/coordination/health/internal/target_evidence.cpp
+++ b/src/coordination/health/internal/target_evidence.cpp
@@ -104,6 +104,11 @@
   Recent = {};
 }
 
+void target_evidence::forget(const data_center_name &From) {
+  Failures.forget(From);
+  Slow.forget(From);
+}
+
 double target_evidence::fused() const {
   return std::max(Failures.fused(), Slow.fused());
 }
--- a/src/coordination/health/internal/target_evidence.h
+++ b/src/coordination/health/internal/target_evidence.h
@@ -36,6 +36,7 @@
   /// Adds one period's evidence of all data centres.
   void addFused(double Increment, double Bound) { Fused.add(Increment, Bound); }
   void reset();
+  void forget(const data_center_name &From) { ByDataCenter.erase(From); }
 
   double fused() const { return Fused.score(); }
   double from(const data_center_name &DataCenter) const;
@@ -59,6 +60,8 @@
   /// Begins the second look; later scores count for it.
   void beginSecondLook() { SecondLook.reset(); }
   void reset();
+  /// Drops what one data centre showed, as after its path was avoided.
+  void forget(const data_center_name &From);
 
   const evidence_channel &failures() const { return Failures; }
   const evidence_channel &slow() const { return Slow; }
--- a/src/coordination/health/tests/service_health_test.cpp
+++ b/src/coordination/health/tests/service_health_test.cpp
@@ -46,6 +46,21 @@
         std::vector{data_center_name("a")});
 }
 
+TEST_CASE_FIXTURE(service_health_fixture, "handle_avoidanceEnded_usedAgain") {
+  for (int Round = 0; Round < 5; ++Round) {
+    report({"a"}, {failing(3, 10)});
+    report({"b", "c"}, {});
+    pass();
+  }
+  REQUIRE(count<link_avoided>() == 1);
+  for (int Round = 0; Round < 80; ++Round) {
+    report(AllDataCenters, {});
+    pass();
+  }
+  CHECK(count<link_avoided>() == 1);
+  CHECK(Machine.verdicts().Targets.empty());
+}
+
 TEST_CASE_FIXTURE(service_health_fixture, "handle_floorReached_withheld") {
   for (unsigned Index = 0; Index < 4; ++Index) {
     makeIll(Index);
--- a/src/protocol/health_messages/internal/health_codec.cpp
+++ b/src/protocol/health_messages/internal/health_codec.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 #include <optional>
 
-#include "protocol/health_messages/generated/health_messages_generated.h"
+#include <health_messages_generated.h>
 
 namespace peridot {
 
