--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -61,6 +61,11 @@
                     std::to_string(Route.MaxBodyBytes) + " bytes"};
 }
 
+retry_party partyOf(const admitted_request &Admitted) {
+  return {.Account = Admitted.Account ? Admitted.Account->Name : account_name(),
+          .Service = Admitted.Service->Name};
+}
+
 bool announcesTooMuch(const caller_request_parser &Request,
                       const route &Route) {
   const auto Length = Request.content_length();
@@ -76,6 +81,7 @@
   if (LastRefusal || CallerLeft)
     co_return relay_result{.Refusal = std::move(LastRefusal),
                            .CallerLeft = CallerLeft};
+  retry_budget &Retries = Worker.retries().of(partyOf(Admitted));
   for (unsigned Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
     const target *Target = choose(Admitted, Snapshot);
     if (!Target)
@@ -83,6 +89,8 @@
     const instant StartedAt = bootNow();
     const attempt_result Result = co_await attempt(*Target, Admitted);
     observe(*Admitted.Service, *Target, Result, StartedAt);
+    if (Result.Whole)
+      Retries.succeeded();
     if (Result.Whole || CallerGotBytes || Result.CallerLeft)
       co_return relay_result{.KeepCaller = Result.Whole && mayKeepCaller(),
                              .Whole = Result.Whole,
@@ -96,7 +104,7 @@
     LastRefusal = refusal{.Kind = Result.Cause.value_or(Kind),
                           .Outcome = Verdict.Outcome,
                           .Detail = Result.Detail};
-    if (!Verdict.MayRetry || isLate())
+    if (!Verdict.MayRetry || isLate() || !Retries.take())
       break;
     NeedsFresh = diedBeforeUse(Result, *Admitted.Route);
     if (!NeedsFresh)
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 
+#include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
 #include "coordination/routing/types/routing_snapshot.h"
@@ -82,6 +83,7 @@
   const traffic_options &options() const { return Options; }
   metrics_registry &metrics() { return Metrics; }
   target_pool &targets() { return Targets; }
+  retry_budgets &retries() { return Retries; }
   /// Series of requests like \p Admitted, which points into \p Configuration.
   request_meters metersOf(const admitted_request &Admitted,
                           const configuration_ptr &Configuration) {
@@ -113,6 +115,7 @@
   std::vector<attempt_observation> Observations;
   snapshot_ptr Snapshot = std::make_shared<routing_snapshot>();
   target_pool Targets;
+  retry_budgets Retries;
   request_meter_cache Meters;
   std::mt19937_64 Random{std::random_device{}()};
   std::atomic<std::size_t> Connections{0};
