--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -181,7 +181,7 @@
     std::tie(Error, std::ignore) =
         co_await asio::async_write(Caller, Continue, UseTaskTuple);
   }
-  Space = std::make_unique<relay_buffer>();
+  Space = std::make_unique_for_overwrite<relay_buffer>();
   while (!Error && !Request.is_done() && Gathered < Space->size()) {
     auto [ReadError, Size] =
         co_await readBodyPart(Caller, CallerBuffer, Request, *Space, Gathered);
@@ -409,7 +409,7 @@
       co_return Error;
   }
   if (!Space)
-    Space = std::make_unique<relay_buffer>();
+    Space = std::make_unique_for_overwrite<relay_buffer>();
   body_copy<Parser, http::response_serializer<http::buffer_body>> Copy{
       .From = Connection.Stream,
       .Buffer = Buffer,
--- a/tests/integration/caller_answers_test.cpp
+++ b/tests/integration/caller_answers_test.cpp
@@ -1,4 +1,5 @@
 #include <fstream>
+#include <future>
 
 #include <doctest/doctest.h>
 
@@ -65,6 +66,30 @@
   CHECK(Answer.ends_with("\r\n\r\nqueen"));
 }
 
+TEST_CASE_FIXTURE(caller_answers_fixture,
+                  "node_slowAnswer_partsPassedOnAsTheyCome") {
+  std::promise<void> FirstSeen;
+  std::shared_future<void> Seen = FirstSeen.get_future().share();
+  addScripted([Seen](scripted_connection &Connection) {
+    if (!Connection.readUntil("\r\n\r\n"))
+      return;
+    if (!Connection.received().starts_with("GET")) {
+      Connection.send(NoContent);
+      return;
+    }
+    Connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nqueen\r\n");
+    Seen.wait();
+    Connection.send("4\r\nseen\r\n0\r\n\r\n");
+  });
+  http_connection Caller(port());
+  Caller.send(RawGet);
+  CHECK(Caller.receiveUntil("queen").starts_with("HTTP/1.1 200"));
+  FirstSeen.set_value();
+  const std::string Rest = Caller.receiveUntil("0\r\n\r\n");
+  CHECK(Rest.find("seen") != Rest.npos);
+}
+
 TEST_CASE_FIXTURE(caller_answers_fixture, "node_interimAnswer_finalPassedOn") {
   addScripted(answering("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
                         "Connection: close\r\n\r\nqueen"));
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -82,6 +82,17 @@
   return toAnswer(Parser.get());
 }
 
+std::string http_connection::receiveUntil(const std::string &Text) {
+  std::string Received;
+  char Chunk[4096];
+  boost::system::error_code Error;
+  while (!Error && Received.find(Text) == std::string::npos) {
+    const std::size_t Size = Impl->Socket.read_some(asio::buffer(Chunk), Error);
+    Received.append(Chunk, Size);
+  }
+  return Received;
+}
+
 std::string http_connection::sendRaw(const std::string &Bytes) {
   boost::system::error_code Error;
   asio::write(Impl->Socket, asio::buffer(Bytes), Error);
--- a/tests/support/http_client.h
+++ b/tests/support/http_client.h
@@ -42,6 +42,8 @@
   void send(const std::string &Bytes);
   /// Reads the answer to a request that was sent.
   http_answer receive();
+  /// Reads bytes until \p Text has come or the other side closes.
+  std::string receiveUntil(const std::string &Text);
   /// Sends bytes as they are and returns all that comes until the other side
   /// closes or a limit passes.
   std::string sendRaw(const std::string &Bytes);
