--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -24,6 +24,10 @@
   /// Answers that no further connection is taken, then closes it.
   static task<void> turnAway(traffic_worker &Worker, tcp_stream Stream);
 
+  ~caller_session() { Watch->abandon(); }
+  caller_session(const caller_session &) = delete;
+  caller_session &operator=(const caller_session &) = delete;
+
 private:
   caller_session(traffic_worker &Worker, tcp_stream Stream)
       : Worker(Worker), Stream(std::move(Stream)),
--- a/src/transport/callers/internal/relay_watch.h
+++ b/src/transport/callers/internal/relay_watch.h
@@ -28,6 +28,9 @@
   /// Ends all watches.
   void disarm();
 
+  /// Drops completions that are under way; used when the streams end.
+  void abandon() { ++Generation; }
+
   /// Since the last disarm():
   bool callerLeft() const { return CallerLeft; }
   bool targetAnswered() const { return TargetAnswered; }
