Send no body in the refusal of a HEAD request

Cause: refusals and address answers were written with their body whatever the method, so the next answer on the connection was misread. Seen failing first: node_refusedHeadRequest_noBody.

--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -227,8 +227,15 @@
   Response.keep_alive(Keep);
   Response.prepare_payload();
   Stream.expires_after(Worker.options().Limits.HeadTimeout);
-  auto [Error, Written] =
-      co_await http::async_write(Stream, Response, UseTaskTuple);
+  http::response_serializer<http::string_body> Serializer(Response);
+  boost::system::error_code Error;
+  // The answer to HEAD has the fields of the body but no body.
+  if (Parser->is_header_done() && Parser->get().method() == http::verb::head)
+    std::tie(Error, std::ignore) =
+        co_await http::async_write_header(Stream, Serializer, UseTaskTuple);
+  else
+    std::tie(Error, std::ignore) =
+        co_await http::async_write(Stream, Serializer, UseTaskTuple);
   co_return !Error && Keep;
 }
 
--- a/tests/integration/caller_framing_test.cpp
+++ b/tests/integration/caller_framing_test.cpp
@@ -96,6 +96,13 @@
   CHECK(Answer.ends_with("\r\n\r\n"));
 }
 
+TEST_CASE_FIXTURE(caller_framing_fixture, "node_refusedHeadRequest_noBody") {
+  const std::string Answer = sendRaw("HEAD /nowhere HTTP/1.1\r\nHost: fleet\r\n"
+                                     "Connection: close\r\n\r\n");
+  CHECK(Answer.starts_with("HTTP/1.1 404"));
+  CHECK(Answer.ends_with("\r\n\r\n"));
+}
+
 TEST_CASE_FIXTURE(caller_framing_fixture, "node_pipelinedRequests_allInOrder") {
   const std::string Answer = sendRaw(
       post("Content-Length: 1\r\n", "1") + post("Content-Length: 1\r\n", "2") +
