--- a/apps/peridotctl/command_line.cpp
+++ b/apps/peridotctl/command_line.cpp
@@ -13,6 +13,8 @@
 DEFINE_string(reason, "", "Why the configuration is changed; kept with it");
 DEFINE_string(publish_id, "",
               "Repeat an earlier publish under its id; default: a new one");
+DEFINE_double(objective, 0.999,
+              "Share of requests that must end well, for burn");
 DEFINE_bool(json, false, "Print JSON instead of text");
 
 namespace peridot {
@@ -24,9 +26,20 @@
     "  peridotctl check DIR            check the service files of a folder\n"
     "  peridotctl publish DIR          put the folder's files in force\n"
     "  peridotctl keys digest          digest of the key on standard input\n"
-    "  peridotctl status               state of the node given by --node\n\n"
+    "  peridotctl keys add|revoke ACCOUNT DIGEST\n"
+    "                                  change one key; safe to repeat\n"
+    "  peridotctl status               state of all VMs\n"
+    "  peridotctl explain target|account|vm|shard|service|configuration NAME\n"
+    "                                  what the VMs decided about it, and why\n"
+    "  peridotctl burn                 error-budget burn of each account at "
+    "each service\n"
+    "  peridotctl drain VM             let a VM finish its work and exit\n\n"
+    "--platform=IP:PORT names the platform's service; status, explain and burn "
+    "ask all\nVMs on its list, or only the one given by --node=IP:PORT. "
+    "publish and keys need\n--author and --reason. --json prints JSON.\n\n"
     "Every flag is also read from PERIDOT_<FLAG>. Exit codes: 0 success,\n"
-    "1 negative answer, 2 wrong usage or file, 3 conflict, 4 unreachable.";
+    "1 negative answer (no such name, nothing to tell), 2 wrong usage or file,"
+    "\n3 conflict, 4 the platform or every VM asked is unreachable.";
 
 } // namespace
 
@@ -47,6 +60,7 @@
                                   .Author = FLAGS_author,
                                   .Reason = FLAGS_reason,
                                   .PublishId = FLAGS_publish_id,
+                                  .Objective = FLAGS_objective,
                                   .Json = FLAGS_json}};
 }
 
--- a/apps/peridotctl/command_line.h
+++ b/apps/peridotctl/command_line.h
@@ -28,6 +28,7 @@
   std::string Author;
   std::string Reason;
   std::string PublishId;
+  double Objective = 0; ///< Share of requests that must end well.
   bool Json = false;
 };
 
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -4,10 +4,13 @@
 
 #include <boost/beast/http.hpp>
 
+#include "coordination/routing/address_order.h"
 #include "protocol/http/problem_details.h"
 #include "protocol/http/request_framing.h"
+#include "state/base/hashing.h"
 #include "state/base/types/overloaded.h"
 #include "transport/callers/internal/request_relay.h"
+#include "transport/callers/internal/service_queue.h"
 
 namespace peridot {
 
@@ -16,6 +19,11 @@
 
 namespace {
 
+/// Longest time that a request waits for this VM's first share of its account.
+constexpr std::chrono::milliseconds FirstShareWait{3'000};
+/// Time between two looks for that share.
+constexpr std::chrono::milliseconds FirstSharePoll{100};
+
 std::string_view toStd(beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -34,6 +42,19 @@
           .Detail = std::string(Detail)};
 }
 
+request_end endOf(const relay_result &Result) {
+  if (Result.CallerLeft)
+    return request_end::Cancelled;
+  if (Result.Refusal)
+    return Result.Refusal->Outcome == request_outcome::NotRun
+               ? request_end::NotRun
+               : request_end::Unknown;
+  if (!Result.Whole)
+    return request_end::Unknown;
+  return Result.Status >= 500 ? request_end::AnsweredError
+                              : request_end::Answered;
+}
+
 refusal headTooLarge() {
   return {.Kind = refusal_kind::HeadTooLarge,
           .Detail = "the request head is larger than the limit"};
@@ -151,31 +172,62 @@
 }
 
 task<bool> caller_session::answerAddresses() {
-  std::vector<vm_address> Preferred = Worker.snapshot()->Vms;
-  std::stable_partition(Preferred.begin(), Preferred.end(),
-                        [this](const vm_address &Vm) {
-                          return Vm.DataCenter == Worker.options().DataCenter;
-                        });
+  const snapshot_ptr Snapshot = Worker.snapshot();
+  const auto &Request = Parser->get();
+  const auto Key = Request.find(toBeast(KeyField));
+  const client_account *Account = nullptr;
+  if (Snapshot->Configuration && Key != Request.end())
+    Account = Snapshot->Configuration->findAccountByKey(
+        digestOfKey(toStd(Key->value())));
+  const std::vector<vm_address> Preferred =
+      orderAddresses(Snapshot->Vms,
+                     {.Account = Account,
+                      .Nearest = Worker.options().DataCenter,
+                      .Random = Worker.random()},
+                     address_options{});
   co_return co_await sendText(
       200, "application/json",
       encodeAddresses(Preferred, Worker.options().AddressTimeToLive), nullptr);
 }
 
+task<rate_decision> caller_session::takeRate(const client_account &Account) {
+  boost::asio::steady_timer Delay(Worker.loop());
+  const auto Limit = std::chrono::steady_clock::now() + FirstShareWait;
+  rate_decision Rate = Worker.takeRate(Account);
+  while (std::chrono::steady_clock::now() < Limit) {
+    const auto *Refused = std::get_if<rate_refused>(&Rate);
+    if (!Refused || !Refused->ShareRequested)
+      break;
+    Delay.expires_after(FirstSharePoll);
+    co_await Delay.async_wait(UseTaskTuple);
+    Rate = Worker.takeRate(Account);
+  }
+  co_return Rate;
+}
+
 task<bool> caller_session::forward(const admitted_request &Admitted,
                                    snapshot_ptr Snapshot) {
+  const request_meters Meters =
+      Worker.metersOf(Admitted, Snapshot->Configuration);
+  const instant StartedAt = bootNow();
   if (Admitted.Account) {
-    const rate_decision Rate = Worker.takeRate(*Admitted.Account);
+    const rate_decision Rate = co_await takeRate(*Admitted.Account);
     if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
       const refusal Refusal{.Kind = refusal_kind::RateExceeded,
                             .Detail = "account " +
                                       Admitted.Account->Name.str() +
                                       " is above its rate",
                             .RetryAfter = Refused->RetryAfter};
+      Meters.record(request_end::RateExceeded, bootNow() - StartedAt);
       co_return co_await refuse(Refusal);
     }
   }
+  const auto Turn = co_await Worker.queues().enter(Admitted, Snapshot);
+  if (const auto *Refused = std::get_if<refusal>(&Turn))
+    co_return co_await refuse(*Refused);
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
   const relay_result Result = co_await Relay.run(Admitted, *Snapshot);
+  Meters.record(endOf(Result), bootNow() - StartedAt);
   InStep = Result.KeepCaller;
   if (Result.Refusal)
     co_return co_await refuse(*Result.Refusal);
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/logging/event_log.h"
+#include "transport/node/internal/burn_driver.h"
+#include "transport/node/internal/health_driver.h"
+#include "transport/node/internal/limits_driver.h"
 #include "transport/node/internal/membership_driver.h"
 #include "transport/node/internal/operator_pages.h"
 #include "transport/node/internal/ownership_driver.h"
@@ -70,10 +73,16 @@
   ownership_view Ownership;
   control_context Context;
   rollout_driver Rollout{Context};
+  burn_driver Burn{Context};
   membership_driver Membership{Context};
   vm_list_driver VmList{Context, Membership};
   ownership_driver OwnershipDriver{Context};
-  operator_pages Pages{Context};
+  limits_driver Limits{Context};
+  health_driver Health{Context};
+  operator_pages Pages{Context,
+                       {.Rollout = Rollout, .Burn = Burn, .Drain = [this] {
+                          Settings.OnDrain();
+                        }}};
   operator_server Operators;
 };
 
@@ -124,15 +133,27 @@
 }
 
 void node::parts::startDrivers() {
-  for (const auto &Worker : Workers)
+  traffic_hooks Hooks;
+  Hooks.TakeRate = [this](const client_account &Account) {
+    return Limits.takeRate(Account);
+  };
+  Hooks.Observe = [this](std::vector<attempt_observation> Attempts) {
+    Health.handOver(std::move(Attempts));
+  };
+  for (const auto &Worker : Workers) {
+    Worker->setHooks(Hooks);
     Worker->start();
+  }
   asio::post(Control.context(), [this] {
     Peers.start();
     Operators.start();
     Membership.start();
     VmList.start();
     OwnershipDriver.start();
+    Limits.start();
     Rollout.start();
+    Health.start();
+    Burn.start();
   });
 }
 
--- a/src/transport/platform/platform_client.h
+++ b/src/transport/platform/platform_client.h
@@ -28,6 +28,8 @@
 /// Talks to the platform from one event loop.
 class platform_client {
 public:
+  static constexpr std::chrono::milliseconds DefaultGrace{2'000};
+
   platform_client(boost::asio::io_context &Loop, platform_options Options)
       : Loop(Loop), Options(std::move(Options)) {}
 
@@ -39,7 +41,7 @@
   /// \param Grace time above \p Wait after which the platform counts as away.
   task<result<std::optional<stored_object>>>
   watch(std::string Name, std::uint64_t After, std::chrono::milliseconds Wait,
-        std::chrono::milliseconds Grace);
+        std::chrono::milliseconds Grace = DefaultGrace);
 
   /// Writes an object if its version is still \p Expected and returns the new
   /// one. Conflict: another write came first. Timeout or Unavailable: the
