Confirm only noticeably smaller shares; deliver to itself by posting

Cause: a node that was owner and borrower confirmed each slightly smaller share by a direct call, without end, and the process died (seen in fleet_demandAtAllNodes_withinTheEnvelope: broken pipe at vm-1). Conclusion: messages to oneself are posted, and only a tenth less is confirmed at once.

--- a/src/coordination/limits/internal/borrowing_machine.cpp
+++ b/src/coordination/limits/internal/borrowing_machine.cpp
@@ -18,7 +18,8 @@
 constexpr std::chrono::milliseconds FallenPause{300};
 /// A fall of demand by this part of the account's rate is reported.
 constexpr double NoticeablePart = 0.1;
-/// A share has grown when its rate is above this multiple of the one before.
+/// A share has grown when its rate is above this multiple of the one before,
+/// and shrunk when the one before was above this multiple of its rate.
 constexpr double GrownFactor = 1.1;
 /// Time between two requests for a reserve that was not granted.
 constexpr std::chrono::seconds ReservePause{10};
@@ -179,7 +180,8 @@
   const duration Span = PolledAt == instant{} ? duration{} : Now - PolledAt;
   PolledAt = Now;
   std::map<vm_name, share_request_batch> Batches;
-  for (auto &[Id, Entry] : Accounts) {
+  for (auto &Each : Accounts) {
+    account_entry &Entry = Each.second;
     measure(Entry, Span);
     const auto &Owner = Owners.at(Entry.Shard);
     if (!Owner)
@@ -233,7 +235,7 @@
   Share.Version = Grant.Version;
   Share.DeadBelow = Grant.Version;
   // Confirms a smaller share, so that the owner can lend the rest.
-  Share.AnswerDue = Grant.Rate < Share.InUse.Rate;
+  Share.AnswerDue = Grant.Rate * GrownFactor < Share.InUse.Rate;
   if (Grant.Rate > Share.InUse.Rate * GrownFactor)
     Share.Pause = LeastPause;
   Share.Granted = {Grant.Rate, Grant.Burst};
--- a/src/transport/node/internal/limits_driver.cpp
+++ b/src/transport/node/internal/limits_driver.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/post.hpp>
+
 #include "coordination/membership/home_vms.h"
 #include "transport/logging/event_log.h"
 
@@ -111,7 +113,9 @@
                        encodeLimitsMessage(Message));
     return;
   }
-  std::visit([&](const auto &Each) { handle(Context.Self, Each); }, Message);
+  boost::asio::post(Context.Loop, [this, Message] {
+    std::visit([&](const auto &Each) { handle(Context.Self, Each); }, Message);
+  });
 }
 
 void limits_driver::receive(const vm_incarnation &Sender, bytes_view Body) {
