--- /dev/null
+++ b/src/coordination/limits/tests/lending_rules_test.cpp
@@ -0,0 +1,104 @@
+#include <doctest/doctest.h>
+
+#include "coordination/limits/borrowing_machine.h"
+#include "coordination/limits/lending_machine.h"
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One owner and one borrower of one account; messages are handed over by hand.
+struct lending_rules_fixture {
+  lending_options Options;
+  vm_incarnation Owner{vm_name("vm-1"), {1}};
+  vm_incarnation Self{vm_name("vm-2"), {7}};
+  account_name Name{"keepers"};
+  std::vector<limited_account> Accounts{
+      {.Id = idOf(Name), .Name = Name, .Rate = 10, .Burst = 20}};
+  std::vector<member> Members;
+  ownership_view View;
+  share_directory Directory;
+  lending_machine Lender{Owner, Options};
+  borrowing_machine Borrower{Self.Incarnation, Options, Directory};
+  instant Now{1h};
+
+  lending_rules_fixture() {
+    const shard_number Shard = shardOf(Name);
+    View.Map.Shards[Shard.Value] =
+        shard_ownership{.Owner = Owner, .Epoch = {1}};
+    View.ActingUntil[Shard] = instant::max();
+    Lender.handle(accounts_configured{Accounts}, Now);
+    Borrower.configure(Accounts, Now);
+  }
+
+  account_share &share() { return *Directory.find(Name); }
+  int takeAll() {
+    int Taken = 0;
+    while (std::holds_alternative<rate_admitted>(share().take(Now)))
+      ++Taken;
+    return Taken;
+  }
+  /// A batch that asks for a share, after a request was refused.
+  share_request_batch ask() {
+    share().take(Now);
+    Now += 100ms;
+    auto Batches = Borrower.poll(View.Map, Now);
+    REQUIRE(Batches.size() == 1);
+    return Batches[0].Batch;
+  }
+  std::vector<addressed_grants> answer(const share_request_batch &Batch) {
+    return Lender.handle(shares_requested{Self, Batch, {View, Members}}, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(lending_rules_fixture, "lender_batchTwice_answeredOnce") {
+  Borrower.poll(View.Map, Now);
+  const share_request_batch Batch = ask();
+  CHECK(answer(Batch).size() == 1);
+  CHECK(answer(Batch).empty());
+}
+
+TEST_CASE_FIXTURE(lending_rules_fixture, "borrower_otherIncarnation_ignored") {
+  Borrower.poll(View.Map, Now);
+  share_grant_batch Grants = answer(ask())[0].Batch;
+  Grants.Borrower = {6};
+  Borrower.receive(Grants, Now);
+  CHECK(takeAll() == 0);
+  Grants.Borrower = Self.Incarnation;
+  Borrower.receive(Grants, Now);
+  CHECK(takeAll() > 0);
+}
+
+TEST_CASE_FIXTURE(lending_rules_fixture,
+                  "borrower_answerFromBeforeReturn_ignored") {
+  Borrower.poll(View.Map, Now);
+  share_grant_batch Grants = answer(ask())[0].Batch;
+  Borrower.receive(Grants, Now);
+  // Demand fades until the share is returned.
+  share_request_batch Return;
+  while (Return.Requests.empty() || Return.Requests[0].Demand > 0) {
+    Now += 100ms;
+    for (auto &Each : Borrower.poll(View.Map, Now))
+      Return = Each.Batch;
+  }
+  CHECK(Return.Requests[0].Returned > 0);
+  Grants.Grants[0].Version = Return.Requests[0].DeadBelow.next();
+  Borrower.receive(Grants, Now);
+  CHECK(takeAll() == 0);
+}
+
+TEST_CASE_FIXTURE(lending_rules_fixture, "pool_returnAfterHold_discarded") {
+  constexpr duration Hold = 10s;
+  lending_pool Pool({.Rate = 0.01, .Burst = 20},
+                    {.UsableFrom = Now, .Full = true});
+  const share_grant Grant =
+      Pool.lend(Self, {.Demand = 1}, Now, split_by_demand{}, Hold, Now);
+  CHECK(Grant.Tokens == doctest::Approx(20));
+  Now += Hold + 1s;
+  Pool.lend(Self, {.DeadBelow = Grant.Version.next(), .Returned = 20}, Now,
+            split_by_demand{}, Hold, Now);
+  CHECK(Pool.level() < 1);
+}
