--- a/tests/integration/health_test.cpp
+++ b/tests/integration/health_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "state/ownership/types/shard_map.h"
 #include "support/fleet_fixture.h"
 
 using namespace peridot::test;
@@ -29,6 +30,9 @@
     awaitRevision(1);
     for (const auto &Node : Nodes)
       awaitReady(*Node);
+    awaitCondition("owners of all shards", [this] {
+      return journalled("shard-claimed") >= peridot::ShardCount;
+    });
   }
 
   static http_answer call(const running_node &Node, const std::string &Path) {
@@ -65,13 +69,32 @@
     });
   }
 
+  /// Lines that tell decisions of a kind, those of single VMs left out.
   std::size_t journalled(const std::string &Kind) const {
     std::size_t Count = 0;
     for (const auto &Node : Nodes)
       for (const std::string &Line : Node->Process->lines())
-        Count += Line.find(Kind) != std::string::npos ? 1 : 0;
+        Count += Line.find(Kind) != std::string::npos &&
+                         Line.find("for this VM only") == std::string::npos
+                     ? 1
+                     : 0;
     return Count;
   }
+
+  /// Ends the node that decided for the fleet, without notice.
+  void killDecider() {
+    const auto Decider = std::ranges::find_if(Nodes, [](const auto &Node) {
+      return std::ranges::any_of(
+          Node->Process->lines(), [](const std::string &Line) {
+            return Line.find("target-ejected") != std::string::npos;
+          });
+    });
+    REQUIRE(Decider != Nodes.end());
+    (*Decider)->Process->signal(SIGKILL);
+    (*Decider)->Process->awaitExit();
+    Nodes.erase(Decider);
+    listNodes();
+  }
 };
 
 } // namespace
@@ -90,3 +113,23 @@
   });
   CHECK(journalled("target-readmitted") > 0);
 }
+
+TEST_CASE_FIXTURE(health_fixture, "fleet_drainingTarget_noNewWorkAnywhere") {
+  running_target &Leaving = *Targets[2];
+  Leaving.behave("draining=1");
+  awaitNoWork(Leaving.Name);
+  CHECK(journalled("target-draining") > 0);
+}
+
+TEST_CASE_FIXTURE(health_fixture, "fleet_ownerKilled_successorKeepsVerdict") {
+  running_target &Gray = *Targets[1];
+  Gray.behave("fail_percent=100");
+  awaitNoWork(Gray.Name);
+  killDecider();
+  awaitAtAllNodes("a successor that judges", [&](const running_node &Node) {
+    for (int Count = 0; Count < ProofRequests; ++Count)
+      call(Node, "/read");
+    return journalled("target-ejected") > 0;
+  });
+  awaitNoWork(Gray.Name);
+}
