--- a/tests/measure/gray_failures/trials.cpp
+++ b/tests/measure/gray_failures/trials.cpp
@@ -15,7 +15,7 @@
 constexpr duration HealthyTime = 1h;
 constexpr unsigned HealthyRuns = 4;
 constexpr duration FlapTime = 20min;
-constexpr illness Well{.Name = {}};
+const illness Well{};
 
 /// Delays in seconds; a run without detection counts as missed.
 struct delays {
