Charge the retry budget only for attempts that may have run

Cause: with one of two targets shedding everything, every second request needs a retry and the budget ran out (node_oneTargetSheds_otherServesOnce failed: 503 in place of 200). A shed or unconnected attempt adds no load, so its retry is free; the test passes again (12 of 12 in its file).

--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -104,7 +104,9 @@
     LastRefusal = refusal{.Kind = Result.Cause.value_or(Kind),
                           .Outcome = Verdict.Outcome,
                           .Detail = Result.Detail};
-    if (!Verdict.MayRetry || isLate() || !Retries.take())
+    // An attempt that certainly did not run added no load to a target.
+    const bool AddsLoad = Verdict.Outcome == request_outcome::Unknown;
+    if (!Verdict.MayRetry || isLate() || (AddsLoad && !Retries.take()))
       break;
     NeedsFresh = diedBeforeUse(Result, *Admitted.Route);
     if (!NeedsFresh)
