--- a/apps/peridotctl/burn_command.cpp
+++ b/apps/peridotctl/burn_command.cpp
@@ -41,7 +41,7 @@
 }
 
 std::string nameOfAccount(const burn_subject &Subject) {
-  return Subject.Account.empty() ? "(open)" : Subject.Account.str();
+  return Subject.Account.empty() ? "(all)" : Subject.Account.str();
 }
 
 void printTable(const std::map<burn_subject, totals_by_window> &Sums,
--- a/apps/peridotport/settings.cpp
+++ b/apps/peridotport/settings.cpp
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include <fstream>
+#include <sstream>
 
 #include <arpa/inet.h>
 #include <gflags/gflags.h>
@@ -17,6 +18,9 @@
 DEFINE_int32(platform_port, 0, "Port of the platform's service");
 DEFINE_string(fleet_key_file, "",
               "File with the key that all VMs of the fleet share");
+DEFINE_string(seed_list_file, "",
+              "Copy of the platform's list of VMs (JSON), read at the start "
+              "while the platform is away; may be old");
 DEFINE_int32(traffic_threads, 1, "Threads that serve callers, 1 to 64");
 DEFINE_int32(address_ttl_seconds, 10,
              "How long callers may keep an address answer, 1 to 300");
@@ -66,6 +70,18 @@
   return Key;
 }
 
+std::vector<listed_vm> readSeeds(settings_check &Check) {
+  if (FLAGS_seed_list_file.empty())
+    return {};
+  std::ostringstream Content;
+  Content << std::ifstream(FLAGS_seed_list_file).rdbuf();
+  const auto Seeds = decodeVmList(Content.str());
+  Check.require(Seeds.has_value(),
+                "--seed_list_file='" + FLAGS_seed_list_file +
+                    "' holds no list of VMs; save the platform's /vms there");
+  return Seeds.value_or(std::vector<listed_vm>{});
+}
+
 void checkRanges(settings_check &Check) {
   Check.require(!FLAGS_vm.empty(), "--vm is missing; give this VM's name");
   Check.require(!FLAGS_data_center.empty(),
@@ -92,6 +108,7 @@
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   checkRanges(Check);
   const std::string FleetKey = readFleetKey(Check);
+  const std::vector<listed_vm> Seeds = readSeeds(Check);
   if (!Check.Faults.empty())
     return tl::unexpected(std::move(Check.Faults));
   return node_settings{
@@ -103,6 +120,7 @@
       .OperatorPort = static_cast<std::uint16_t>(FLAGS_operator_port),
       .PlatformAddress = FLAGS_platform_address,
       .PlatformPort = static_cast<std::uint16_t>(FLAGS_platform_port),
+      .Seeds = Seeds,
       .FleetKey = FleetKey,
       .TrafficThreads = static_cast<unsigned>(FLAGS_traffic_threads),
       .AddressTimeToLive = std::chrono::seconds(FLAGS_address_ttl_seconds),
--- a/src/state/burn/burn_ledger.h
+++ b/src/state/burn/burn_ledger.h
@@ -26,7 +26,7 @@
 /// Whose budget at which service.
 struct burn_subject {
   service_name Service;
-  account_name Account; ///< Empty: open routes.
+  account_name Account; ///< Empty: all requests of the service.
 
   auto operator<=>(const burn_subject &) const = default; // NOLINT
 };
--- a/src/state/burn/internal/request_series.cpp
+++ b/src/state/burn/internal/request_series.cpp
@@ -1,5 +1,7 @@
 #include "state/burn/request_series.h"
 
+#include <string>
+
 namespace peridot {
 
 namespace {
@@ -13,23 +15,23 @@
   return Rest.substr(0, Rest.find('"'));
 }
 
-} // namespace
-
-std::string requestLabels(const burn_subject &Subject, request_end End) {
-  return "service=\"" + Subject.Service.str() + "\",account=\"" +
-         Subject.Account.str() + "\",end=\"" +
-         (End == request_end::Good ? "good" : "bad") + "\"";
+bool isCallersAffair(std::string_view Outcome) {
+  return Outcome == "cancelled" || Outcome == "rate-exceeded";
 }
 
-std::optional<request_series> parseRequestLabels(std::string_view Labels) {
-  const std::string_view Service = labelValue(Labels, "service");
-  const std::string_view End = labelValue(Labels, "end");
-  if (Service.empty() || (End != "good" && End != "bad"))
+} // namespace
+
+std::optional<request_series> parseRequestSeries(std::string_view Metric,
+                                                 std::string_view Labels) {
+  if (Metric != ServiceRequestsMetric && Metric != AccountRequestsMetric)
+    return std::nullopt;
+  const std::string_view Outcome = labelValue(Labels, "outcome");
+  if (Outcome.empty() || isCallersAffair(Outcome))
     return std::nullopt;
   return request_series{
-      .Subject = {service_name(Service),
+      .Subject = {service_name(labelValue(Labels, "service")),
                   account_name(labelValue(Labels, "account"))},
-      .End = End == "good" ? request_end::Good : request_end::Bad};
+      .IsGood = Outcome == "answered"};
 }
 
 } // namespace peridot
--- a/src/state/burn/request_series.h
+++ b/src/state/burn/request_series.h
@@ -3,27 +3,28 @@
 #pragma once
 
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "state/burn/burn_ledger.h"
 
 namespace peridot {
 
-inline constexpr std::string_view RequestsMetric = "peridot_requests_total";
-
-/// How a request counts against the error budget.
-enum class request_end { Good, Bad };
-
-/// Labels of the counter of \p Subject's requests that ended as \p End.
-std::string requestLabels(const burn_subject &Subject, request_end End);
+/// Counts a service's requests; labels `service` and `outcome`.
+inline constexpr std::string_view ServiceRequestsMetric =
+    "peridot_requests_total";
+/// Counts an account's requests; labels `service`, `account` and `outcome`.
+inline constexpr std::string_view AccountRequestsMetric =
+    "peridot_account_requests_total";
 
+/// What one series says about an error budget.
 struct request_series {
   burn_subject Subject;
-  request_end End = request_end::Good;
+  bool IsGood = false;
 };
 
-/// Reads the labels back; empty when they are not of this form.
-std::optional<request_series> parseRequestLabels(std::string_view Labels);
+/// Reads metric and labels of a counter. Empty when the counter is another one
+/// or its requests are the caller's affair: cancelled or above the rate.
+std::optional<request_series> parseRequestSeries(std::string_view Metric,
+                                                 std::string_view Labels);
 
 } // namespace peridot
--- a/src/state/burn/tests/burn_ledger_test.cpp
+++ b/src/state/burn/tests/burn_ledger_test.cpp
@@ -44,11 +44,17 @@
   CHECK(judgeBurn({Twenty, {1000, 0}, {1000, 0}}, 0.999) == burn_alert::None);
 }
 
-TEST_CASE_FIXTURE(burn_fixture, "parseRequestLabels_ownLabels_sameAgain") {
-  const auto Series =
-      parseRequestLabels(requestLabels(Subject, request_end::Bad));
-  REQUIRE(Series);
-  CHECK(Series->Subject == Subject);
-  CHECK(Series->End == request_end::Bad);
-  CHECK_FALSE(parseRequestLabels("kind=\"x\""));
+TEST_CASE_FIXTURE(burn_fixture, "parseRequestSeries_outcomes_goodBadOrNone") {
+  const auto Parse = [](std::string_view Outcome) {
+    return parseRequestSeries(AccountRequestsMetric,
+                              "service=\"hive\",account=\"keepers\","
+                              "outcome=\"" +
+                                  std::string(Outcome) + "\"");
+  };
+  CHECK(Parse("answered")->Subject == Subject);
+  CHECK(Parse("answered")->IsGood);
+  CHECK_FALSE(Parse("unknown")->IsGood);
+  CHECK_FALSE(Parse("answered-error")->IsGood);
+  CHECK_FALSE(Parse("rate-exceeded"));
+  CHECK_FALSE(parseRequestSeries("peridot_refusals_total", "kind=\"x\""));
 }
--- a/src/transport/node/internal/burn_driver.cpp
+++ b/src/transport/node/internal/burn_driver.cpp
@@ -21,9 +21,8 @@
 
 void burn_driver::readCounters(instant Now) {
   for (const counter_reading &Reading : Context.Metrics.readCounters()) {
-    if (Reading.Name.Metric != RequestsMetric)
-      continue;
-    const auto Series = parseRequestLabels(Reading.Name.Labels);
+    const auto Series =
+        parseRequestSeries(Reading.Name.Metric, Reading.Name.Labels);
     if (!Series)
       continue;
     std::uint64_t &Last = Seen[Reading.Name];
@@ -31,9 +30,10 @@
     Last = Reading.Value;
     if (New == 0)
       continue;
-    const bool Good = Series->End == request_end::Good;
-    Ledger.add(Series->Subject, {.Good = Good ? New : 0, .Bad = Good ? 0 : New},
-               Now);
+    Ledger.add(
+        Series->Subject,
+        {.Good = Series->IsGood ? New : 0, .Bad = Series->IsGood ? 0 : New},
+        Now);
   }
 }
 
--- a/src/transport/node/internal/vm_list_driver.cpp
+++ b/src/transport/node/internal/vm_list_driver.cpp
@@ -26,6 +26,8 @@
 } // namespace
 
 void vm_list_driver::start() {
+  if (!Context.Settings.Seeds.empty())
+    apply(Context.Settings.Seeds);
   asio::co_spawn(Context.Loop, poll(), asio::detached);
 }
 
--- a/src/transport/node/types/node_settings.h
+++ b/src/transport/node/types/node_settings.h
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <vector>
 
+#include "protocol/platform_documents/platform_documents.h"
 #include "state/base/types/identifiers.h"
 
 namespace peridot {
@@ -20,6 +22,8 @@
   std::uint16_t OperatorPort = 0;
   std::string PlatformAddress = "127.0.0.1"; ///< IP number.
   std::uint16_t PlatformPort = 0;
+  /// VMs to ask while the platform's list was never read; may be old.
+  std::vector<listed_vm> Seeds;
   std::string FleetKey; ///< Shared by all VMs of the fleet; never logged.
   unsigned TrafficThreads = 1;
   std::chrono::seconds AddressTimeToLive{10};
--- a/tests/integration/ctl_test.cpp
+++ b/tests/integration/ctl_test.cpp
@@ -55,6 +55,20 @@
   CHECK(httpCall(Nodes[0]->OperatorPort, {.Path = "/ready"}).Status == 200);
 }
 
+TEST_CASE_FIXTURE(ctl_fixture, "burn_targetFails_countedPerAccount") {
+  const http_call Call{.Path = "/hive", .Fields = {{"Peridot-Key", "secret"}}};
+  CHECK(httpCall(Nodes[0]->CallerPort, Call).Status == 200);
+  CHECK(httpCall(Nodes[1]->CallerPort, Call).Status == 200);
+  Targets[0]->Process->signal(SIGKILL);
+  Targets[0]->Process->awaitExit();
+  CHECK(httpCall(Nodes[0]->CallerPort, Call).Status >= 500);
+  const finished_program Burn = ctl({"burn", "--json"});
+  CHECK(Burn.ExitCode == 0);
+  CHECK(contains(Burn, R"("account":"keepers","windows":[{"minutes":5,)"
+                       R"("good":2,"bad":1,)"));
+  CHECK(contains(ctl({"burn"}), "fast"));
+}
+
 TEST_CASE_FIXTURE(ctl_fixture, "burn_platformDown_unreachable") {
   CHECK(ctl({"burn", "--json"}).ExitCode == 0);
   CHECK(ctl({"burn", "--objective=2"}).ExitCode == 2);
--- a/tests/integration/keys_test.cpp
+++ b/tests/integration/keys_test.cpp
@@ -1,3 +1,5 @@
+#include <fstream>
+
 #include <doctest/doctest.h>
 
 #include "state/base/hashing.h"
@@ -107,3 +109,26 @@
     Nodes[Node]->Process->signal(SIGCONT);
   awaitEverywhere("secret", 200);
 }
+
+TEST_CASE_FIXTURE(keys_fixture, "node_startedInOutage_highestRevisionOfPeers") {
+  CHECK(keys("revoke", "keepers", "secret").ExitCode == 0);
+  awaitRevision(2);
+  const std::string Seeds = folder() + "/seeds.json";
+  std::ofstream(Seeds) << httpCall(PlatformPort, {.Path = "/vms"}).Body;
+  const std::string PeerPort = std::to_string(Nodes.back()->PeerPort);
+  const std::string Name = Nodes.back()->Name;
+  Nodes.back()->Process->signal(SIGKILL);
+  Nodes.back()->Process->awaitExit();
+  Nodes.pop_back();
+  platformFaults("down=1");
+  const running_node &Node =
+      addNode(Name, "lakes-c",
+              {"--peer_port=" + PeerPort, "--seed_list_file=" + Seeds});
+  awaitReady(Node);
+  awaitRevision(2);
+  const http_call Withdrawn{.Path = "/hive",
+                            .Fields = {{"Peridot-Key", "secret"}}};
+  CHECK(httpCall(Node.CallerPort, Withdrawn).Status == 401);
+  const http_call Kept{.Path = "/hive", .Fields = {{"Peridot-Key", "spare"}}};
+  CHECK(httpCall(Node.CallerPort, Kept).Status == 200);
+}
--- /dev/null
+++ b/tests/measure/addresses/main.cpp
@@ -0,0 +1,103 @@
+/// \file
+/// Counts which VMs an account's callers are sent to, and how many VMs meet at
+/// one service, with and without home VMs.
+
+#include <algorithm>
+#include <cstdio>
+#include <random>
+#include <set>
+
+#include "coordination/membership/home_vms.h"
+#include "coordination/routing/address_order.h"
+
+namespace peridot {
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261204;
+
+struct fleet_size {
+  const char *Name;
+  std::size_t Vms;
+  std::size_t DataCenters;
+  std::size_t Accounts;
+  std::size_t Services;
+  std::size_t ServicesPerAccount;
+  double RequestsPerSecond; ///< Of all accounts; large ones have more.
+};
+
+constexpr fleet_size Sizes[] = {
+    {"Hivecrest today", 44, 3, 8, 4, 4, 800},
+    {"target", 640, 5, 16'000, 350, 2, 180'000},
+};
+
+std::vector<vm_address> makeVms(const fleet_size &Size) {
+  std::vector<vm_address> Vms;
+  for (std::size_t Index = 0; Index < Size.Vms; ++Index)
+    Vms.push_back({.Vm = vm_name("vm-" + std::to_string(Index)),
+                   .DataCenter = data_center_name(
+                       "dc-" + std::to_string(Index % Size.DataCenters))});
+  return Vms;
+}
+
+/// Rates fall with the rank, so that a few accounts are large.
+std::vector<client_account> makeAccounts(const fleet_size &Size) {
+  double Sum = 0;
+  for (std::size_t Index = 0; Index < Size.Accounts; ++Index)
+    Sum += 1.0 / static_cast<double>(Index + 1);
+  std::vector<client_account> Accounts;
+  for (std::size_t Index = 0; Index < Size.Accounts; ++Index)
+    Accounts.push_back(
+        {.Name = account_name("account-" + std::to_string(Index)),
+         .Limit = {.RequestsPerSecond = Size.RequestsPerSecond /
+                                        static_cast<double>(Index + 1) / Sum,
+                   .Burst = 1}});
+  return Accounts;
+}
+
+std::vector<member> membersOf(std::span<const vm_address> Vms) {
+  std::vector<member> Members;
+  for (const vm_address &Vm : Vms)
+    Members.push_back({.Vm = Vm.Vm, .DataCenter = Vm.DataCenter});
+  return Members;
+}
+
+void measure(const fleet_size &Size) {
+  std::mt19937_64 Random(Seed);
+  const std::vector<member> Members = membersOf(makeVms(Size));
+  std::vector<std::set<vm_name>> VmsOfService(Size.Services);
+  std::vector<std::size_t> Reached;
+  const std::vector<client_account> Accounts = makeAccounts(Size);
+  for (const client_account &Account : Accounts) {
+    const std::vector<vm_name> Names =
+        homeVms(Account.Name, Members,
+                homesPerDataCenter(Account.Limit, address_options{}));
+    Reached.push_back(Names.size());
+    for (std::size_t Each = 0; Each < Size.ServicesPerAccount; ++Each) {
+      const std::size_t Service = Size.ServicesPerAccount == Size.Services
+                                      ? Each
+                                      : Random() % Size.Services;
+      VmsOfService[Service].insert(Names.begin(), Names.end());
+    }
+  }
+  std::ranges::sort(Reached);
+  std::size_t Most = 0;
+  std::size_t Sum = 0;
+  for (const auto &Names : VmsOfService) {
+    Most = std::max(Most, Names.size());
+    Sum += Names.size();
+  }
+  std::printf("%s: VMs that one account's callers reach: median %zu, most %zu "
+              "of %zu; VMs that serve one service: mean %zu, most %zu\n",
+              Size.Name, Reached[Reached.size() / 2], Reached.back(), Size.Vms,
+              Sum / Size.Services, Most);
+}
+
+} // namespace
+
+} // namespace peridot
+
+int main() {
+  for (const auto &Size : peridot::Sizes)
+    peridot::measure(Size);
+}
