--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 
+#include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
 #include "coordination/routing/types/routing_snapshot.h"
@@ -19,6 +20,8 @@
 
 namespace peridot {
 
+class service_queues;
+
 /// Limits on what a caller may send and hold.
 struct caller_limits {
   std::uint32_t MaxHeadBytes = 16U << 10U;
@@ -82,6 +85,7 @@
   const traffic_options &options() const { return Options; }
   metrics_registry &metrics() { return Metrics; }
   target_pool &targets() { return Targets; }
+  retry_budgets &retries() { return Retries; }
   /// Series of requests like \p Admitted, which points into \p Configuration.
   request_meters metersOf(const admitted_request &Admitted,
                           const configuration_ptr &Configuration) {
@@ -89,6 +93,7 @@
   }
   /// Learns how a request on a connection to a target ended.
   void noteConnection(const target_name &Target, const connection_event &Event);
+  service_queues &queues() { return *Queues; }
   boost::asio::io_context &loop() { return Loop.context(); }
   std::uint64_t random() { return Random(); }
   bool shuttingDown() const { return ShuttingDown; }
@@ -113,11 +118,14 @@
   std::vector<attempt_observation> Observations;
   snapshot_ptr Snapshot = std::make_shared<routing_snapshot>();
   target_pool Targets;
+  retry_budgets Retries;
   request_meter_cache Meters;
   std::mt19937_64 Random{std::random_device{}()};
   std::atomic<std::size_t> Connections{0};
   std::size_t TurningAway = 0;
   bool ShuttingDown = false;
+  /// Outlives the loop, whose coroutines hold turns.
+  std::unique_ptr<service_queues> Queues;
   event_loop Loop;
   tcp_acceptor Acceptor;
   timer_service Timers;
--- a/src/transport/node/internal/burn_driver.cpp
+++ b/src/transport/node/internal/burn_driver.cpp
@@ -21,8 +21,9 @@
 
 void burn_driver::readCounters(instant Now) {
   for (const counter_reading &Reading : Context.Metrics.readCounters()) {
-    const auto Series =
-        parseRequestSeries(Reading.Name.Metric, Reading.Name.Labels);
+    if (Reading.Name.Metric != RequestsMetric)
+      continue;
+    const auto Series = parseRequestLabels(Reading.Name.Labels);
     if (!Series)
       continue;
     std::uint64_t &Last = Seen[Reading.Name];
@@ -30,10 +31,9 @@
     Last = Reading.Value;
     if (New == 0)
       continue;
-    Ledger.add(
-        Series->Subject,
-        {.Good = Series->IsGood ? New : 0, .Bad = Series->IsGood ? 0 : New},
-        Now);
+    const request_totals Each = budgetOf(Series->End);
+    if (Each != request_totals{})
+      Ledger.add(Series->Subject, {New * Each.Good, New * Each.Bad}, Now);
   }
 }
 
