--- a/tests/integration/ctl_test.cpp
+++ b/tests/integration/ctl_test.cpp
@@ -55,6 +55,25 @@
   CHECK(httpCall(Nodes[0]->OperatorPort, {.Path = "/ready"}).Status == 200);
 }
 
+TEST_CASE_FIXTURE(ctl_fixture, "burn_targetFails_countedPerAccount") {
+  const http_call Call{.Path = "/hive", .Fields = {{"Peridot-Key", "secret"}}};
+  // Refusals above the rate, which may come first, do not count.
+  for (const auto &Node : Nodes)
+    awaitCondition("an answer from " + Node->Name, [&] {
+      return httpCall(Node->CallerPort, Call).Status == 200;
+    });
+  Targets[0]->Process->signal(SIGKILL);
+  Targets[0]->Process->awaitExit();
+  awaitCondition("a failure", [&] {
+    return httpCall(Nodes[0]->CallerPort, Call).Status >= 500;
+  });
+  const finished_program Burn = ctl({"burn", "--json"});
+  CHECK(Burn.ExitCode == 0);
+  CHECK(contains(Burn, R"("account":"keepers","windows":[{"minutes":5,)"
+                       R"("good":2,"bad":1,)"));
+  CHECK(contains(ctl({"burn"}), "fast"));
+}
+
 TEST_CASE_FIXTURE(ctl_fixture, "burn_platformDown_unreachable") {
   CHECK(ctl({"burn", "--json"}).ExitCode == 0);
   CHECK(ctl({"burn", "--objective=2"}).ExitCode == 2);
