--- a/src/protocol/http/header_rules.h
+++ b/src/protocol/http/header_rules.h
@@ -13,6 +13,9 @@
 inline constexpr std::string_view AccountField = "Peridot-Account";
 /// Header field that tells a target how many milliseconds are left.
 inline constexpr std::string_view DeadlineField = "Peridot-Deadline-Ms";
+/// Header field that names one attempt; a target may send it back, so that an
+/// answer cannot be taken for that of another request.
+inline constexpr std::string_view AttemptField = "Peridot-Attempt-Id";
 /// Header field by which a target reports that it shed a request or drains.
 inline constexpr std::string_view TargetStateField = "Peridot-Target-State";
 /// Header field by which a target reports its load, from 0 to 1.
@@ -30,6 +33,7 @@
 struct forwarded_context {
   std::string_view Account; ///< Empty on open routes.
   std::chrono::milliseconds TimeLeft{0};
+  std::string_view AttemptId; ///< Unique to this attempt.
 };
 
 /// Turns a caller's fields into those that the target gets. Fields of the same
@@ -37,6 +41,10 @@
 void prepareForTarget(boost::beast::http::fields &Fields,
                       const forwarded_context &Context);
 
+/// True if an answer carries the id of the attempt that it should answer.
+bool answersAttempt(const boost::beast::http::fields &Fields,
+                    std::string_view AttemptId);
+
 /// Turns a target's fields into those that the caller gets.
 void prepareForCaller(boost::beast::http::fields &Fields);
 
--- a/src/protocol/http/internal/header_rules.cpp
+++ b/src/protocol/http/internal/header_rules.cpp
@@ -64,12 +64,18 @@
   if (!Context.Account.empty())
     Fields.set(toBeast(AccountField), toBeast(Context.Account));
   Fields.set(toBeast(DeadlineField), std::to_string(Context.TimeLeft.count()));
+  Fields.set(toBeast(AttemptField), toBeast(Context.AttemptId));
+}
+
+bool answersAttempt(const http::fields &Fields, std::string_view AttemptId) {
+  return Fields[toBeast(AttemptField)] == toBeast(AttemptId);
 }
 
 void prepareForCaller(http::fields &Fields) {
   removeHopByHopFields(Fields);
   Fields.erase(toBeast(TargetStateField));
   Fields.erase(toBeast(TargetLoadField));
+  Fields.erase(toBeast(AttemptField));
   Fields.erase(toBeast(OutcomeField));
 }
 
--- a/src/protocol/platform_documents/internal/platform_documents.cpp
+++ b/src/protocol/platform_documents/internal/platform_documents.cpp
@@ -99,6 +99,7 @@
                          ? ejection_mode::Fast
                          : ejection_mode::Careful;
   Service.ProbePath = textOf(Value.at("probe_path"));
+  Service.EchoesAttemptId = Value.at("echoes_attempt_id").as_bool();
   for (const json::value &Route : Value.at("routes").as_array())
     Service.Routes.push_back(decodeRoute(Route));
   for (const json::value &Target : Value.at("targets").as_array())
@@ -171,6 +172,7 @@
       {"ejection",
        Service.Ejection == ejection_mode::Fast ? "fast" : "careful"},
       {"probe_path", text(Service.ProbePath)},
+      {"echoes_attempt_id", Service.EchoesAttemptId},
       {"routes", arrayOf(std::span(Service.Routes), encodeRoute)},
       {"targets", arrayOf(std::span(Service.Targets), encodeTarget)},
       {"accounts", arrayOf(std::span(Document.Accounts), encodeAccount)}});
--- a/src/protocol/service_files/internal/service_file_reader.cpp
+++ b/src/protocol/service_files/internal/service_file_reader.cpp
@@ -105,6 +105,7 @@
       Reader.integerOr("floor_percent", Service.FloorPercent, 0, 100));
   Service.Ejection = readEjection(Reader);
   Service.ProbePath = Reader.textOr("probe_path", Service.ProbePath);
+  Service.EchoesAttemptId = Reader.flagOr("echoes_attempt_id", false);
   for (const toml::table *Table : Reader.tables("route"))
     Service.Routes.push_back(readRoute({File, *Table, Faults}));
   for (const toml::table *Table : Reader.tables("target"))
--- a/src/state/configuration/types/fleet_configuration.h
+++ b/src/state/configuration/types/fleet_configuration.h
@@ -65,6 +65,8 @@
   unsigned FloorPercent = 50; ///< Share of slots that ejection must leave.
   ejection_mode Ejection = ejection_mode::Careful;
   std::string ProbePath = "/health";
+  /// Targets send the attempt's id back; answers without it are refused.
+  bool EchoesAttemptId = false;
   std::vector<route> Routes;
   std::vector<target> Targets;
 
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "transport/callers/internal/caller_session.h"
 
 #include <algorithm>
+#include <array>
 
 #include <boost/beast/http.hpp>
 
@@ -34,6 +35,9 @@
 
 /// Bytes that one read of a head asks for.
 constexpr std::size_t HeadReadBytes = 4U << 10U;
+/// Longest body of a refused request that is read and dropped to keep the
+/// connection; longer ones end it.
+constexpr std::uint64_t MaxDroppedBody = 64U << 10U;
 /// Longest wait for the caller to take the last answer.
 constexpr std::chrono::seconds CloseTimeout{2};
 
@@ -223,8 +227,10 @@
     }
   }
   const auto Turn = co_await Worker.queues().enter(Admitted, Snapshot);
-  if (const auto *Refused = std::get_if<refusal>(&Turn))
+  if (const auto *Refused = std::get_if<refusal>(&Turn)) {
+    Meters.record(request_end::NotRun, bootNow() - StartedAt);
     co_return co_await refuse(*Refused);
+  }
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
   const relay_result Result = co_await Relay.run(Admitted, *Snapshot);
   Meters.record(endOf(Result), bootNow() - StartedAt);
@@ -239,10 +245,28 @@
       .counterOf("peridot_refusals_total",
                  "kind=\"" + std::string(nameOf(Refusal.Kind)) + "\"")
       .add();
+  co_await dropSmallBody();
   co_return co_await sendText(statusOf(Refusal), "application/problem+json",
                               encodeProblem(Refusal), &Refusal);
 }
 
+task<void> caller_session::dropSmallBody() {
+  if (!InStep || !Parser->is_header_done() || Parser->is_done() ||
+      Parser->get().count(http::field::expect) > 0 ||
+      !Parser->content_length_remaining() ||
+      *Parser->content_length_remaining() > MaxDroppedBody)
+    co_return;
+  std::array<char, HeadReadBytes> Dropped{};
+  Stream.expires_after(Worker.options().Limits.HeadTimeout);
+  boost::system::error_code Error;
+  while (!Parser->is_done() && (!Error || Error == http::error::need_buffer)) {
+    Parser->get().body().data = Dropped.data();
+    Parser->get().body().size = Dropped.size();
+    std::tie(Error, std::ignore) =
+        co_await http::async_read(Stream, Buffer, *Parser, UseTaskTuple);
+  }
+}
+
 task<bool> caller_session::sendText(unsigned Status, std::string ContentType,
                                     std::string Body, const refusal *Refusal) {
   // A request body that was not read stands between this answer and the next
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -49,6 +49,8 @@
   task<rate_decision> takeRate(const client_account &Account);
   task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
   task<bool> refuse(const refusal &Refusal);
+  /// Reads the rest of a short body, so that the connection can be kept.
+  task<void> dropSmallBody();
   task<bool> sendText(unsigned Status, std::string ContentType,
                       std::string Body, const refusal *Refusal);
 
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -226,12 +226,14 @@
   Result.ReusedConnection = Connection->Uses++ > 0;
   Result.OpenedAt = Connection->OpenedAt;
   Result.Progress = attempt_progress::NothingSent;
+  Result.AttemptId = std::to_string(Worker.random());
   Connection->Stream.expires_at(Deadline);
   co_await sendRequest(*Connection, Admitted, Result);
   bool Reusable = false;
   if (!Result.Error && !Result.Cause && !Result.CallerLeft) {
     Watch.closeWhenCallerLeaves(Connection->Stream);
-    Result.Error = co_await passAnswer(*Connection, Result, Reusable);
+    Result.Error =
+        co_await passAnswer(*Connection, *Admitted.Service, Result, Reusable);
     Result.CallerLeft = Watch.callerLeft();
     Watch.disarm();
   }
@@ -287,7 +289,8 @@
   prepareForTarget(
       Forwarded,
       {.Account = Admitted.Account ? Admitted.Account->Name.view() : "",
-       .TimeLeft = std::max(TimeLeft, std::chrono::milliseconds{0})});
+       .TimeLeft = std::max(TimeLeft, std::chrono::milliseconds{0}),
+       .AttemptId = Result.AttemptId});
   auto &Body = Forwarded.body();
   Body.data = Gathered > 0 ? Space->data() : nullptr;
   Body.size = Gathered;
@@ -364,8 +367,8 @@
 }
 
 task<boost::system::error_code>
-request_relay::passAnswer(target_connection &Connection, attempt_result &Result,
-                          bool &Reusable) {
+request_relay::passAnswer(target_connection &Connection, const service &Service,
+                          attempt_result &Result, bool &Reusable) {
   beast::flat_buffer Buffer;
   Buffer.reserve(AnswerBufferBytes);
   std::optional<http::response_parser<http::buffer_body>> Answer;
@@ -380,6 +383,11 @@
       co_return Error;
   } while (Answer->get().result() == http::status::continue_ ||
            Answer->get().result() == http::status::processing);
+  if (Service.EchoesAttemptId &&
+      !answersAttempt(Answer->get(), Result.AttemptId)) {
+    Worker.metrics().counterOf("peridot_foreign_answers_total").add();
+    co_return make_error_code(boost::system::errc::bad_message);
+  }
   Result.HeadAt = bootNow();
   Result.Status = Answer->get().result_int();
   Result.Report = readTargetReport(Answer->get(), Result.Status);
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -48,6 +48,7 @@
     /// Set when the attempt ended for a reason of the caller or of time.
     std::optional<refusal_kind> Cause;
     std::string Detail;
+    std::string AttemptId; ///< Sent to the target.
     target_report Report;
     instant OpenedAt{}; ///< When the connection was opened.
     instant HeadAt{};   ///< When the answer's head came.
@@ -78,6 +79,7 @@
                         std::uint64_t MaxBodyBytes, attempt_result &Result);
   void noteUploadEnd(const relay_end &End, attempt_result &Result);
   task<boost::system::error_code> passAnswer(target_connection &Connection,
+                                             const service &Service,
                                              attempt_result &Result,
                                              bool &Reusable);
   /// Passes on an answer whose head was read.
--- a/tests/integration/caller_answers_test.cpp
+++ b/tests/integration/caller_answers_test.cpp
@@ -220,3 +220,12 @@
   CHECK(Answer.Status == 200);
   CHECK(Answer.Body == Body);
 }
+
+TEST_CASE_FIXTURE(caller_answers_fixture,
+                  "node_refusedPostWithBody_connectionKept") {
+  http_connection Connection(port());
+  const http_answer Refused = Connection.call(
+      {.Method = "POST", .Path = "/keyed", .Body = std::string(9'000, 'q')});
+  CHECK(Refused.Status == 401);
+  CHECK(Connection.call({.Path = "/hive"}).Status == 200);
+}
--- /dev/null
+++ b/tests/measure/capacity/main.cpp
@@ -0,0 +1,219 @@
+/// \file
+/// Prints memory, bytes and processor time of the control parts at several
+/// sizes, for docs/CAPACITY.md. Real decision code and codecs, one process.
+
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <malloc.h>
+
+#include "coordination/health/service_health.h"
+#include "coordination/limits/borrowing_machine.h"
+#include "coordination/limits/lending_machine.h"
+#include "protocol/limits_messages/limits_codec.h"
+#include "protocol/platform_documents/platform_documents.h"
+#include "state/base/hashing.h"
+#include "state/configuration/configuration_index.h"
+
+namespace {
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+const instant Start = instant{} + 1h;
+
+/// Bytes in use on the heap.
+std::size_t heapBytes() { return mallinfo2().uordblks; }
+
+/// Processor time of this process in microseconds.
+double processorMicroseconds() {
+  timespec Time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
+  return static_cast<double>(Time.tv_sec) * 1e6 +
+         static_cast<double>(Time.tv_nsec) / 1e3;
+}
+
+/// Declared things of a fleet; the target size is 350, 8,900, 3,800, 16,000.
+struct fleet_size {
+  std::size_t Services;
+  std::size_t Targets;
+  std::size_t Routes;
+  std::size_t Accounts;
+};
+
+service_document makeDocument(const fleet_size &Size, std::size_t Index) {
+  const std::string Name = "service-" + std::to_string(Index);
+  service_document Document{.Service = {.Name = service_name(Name)}};
+  for (std::size_t Route = Index; Route < Size.Routes; Route += Size.Services)
+    Document.Service.Routes.push_back(
+        {.PathPrefix = "/" + Name + "/route-" + std::to_string(Route)});
+  for (std::size_t Target = Index; Target < Size.Targets;
+       Target += Size.Services)
+    Document.Service.Targets.push_back(
+        {.Name = target_name(Name + "-" + std::to_string(Target)),
+         .DataCenter = data_center_name("dc-" + std::to_string(Target % 5)),
+         .Address = "127.0.0.1",
+         .Port = 8080});
+  for (std::size_t Account = Index; Account < Size.Accounts;
+       Account += Size.Services) {
+    const std::string Key = "account-" + std::to_string(Account);
+    Document.Accounts.push_back({.Name = account_name(Key),
+                                 .Limit = {10, 20},
+                                 .Keys = {digestOfKey(Key)},
+                                 .Services = {service_name(Name)}});
+  }
+  return Document;
+}
+
+void measureConfiguration(const fleet_size &Size) {
+  std::vector<service_document> Documents;
+  std::vector<manifest_entry> Entries;
+  std::size_t JsonBytes = 0;
+  for (std::size_t Index = 0; Index < Size.Services; ++Index) {
+    Documents.push_back(makeDocument(Size, Index));
+    const std::string Json = encodeDocument(Documents.back());
+    JsonBytes += Json.size();
+    Entries.push_back({Documents.back().Service.Name, sha256Hex(Json)});
+  }
+  const std::string Manifest = encodeManifest({.Documents = Entries});
+  const std::size_t Before = heapBytes();
+  const double StartedAt = processorMicroseconds();
+  auto Whole = assemble(revision{1}, Documents);
+  const auto Index =
+      std::make_shared<const configuration_index>(std::move(*Whole));
+  const double Elapsed = processorMicroseconds() - StartedAt;
+  std::printf("configuration services=%zu targets=%zu routes=%zu accounts=%zu "
+              "index_bytes=%zu json_bytes=%zu manifest_bytes=%zu "
+              "accept_us=%.0f\n",
+              Size.Services, Size.Targets, Size.Routes, Size.Accounts,
+              heapBytes() - Before, JsonBytes, Manifest.size(), Elapsed);
+}
+
+std::vector<limited_account> makeAccounts(std::size_t Count) {
+  std::vector<limited_account> Accounts;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const account_name Name("account-" + std::to_string(Index));
+    Accounts.push_back({idOf(Name), Name, 10, 20});
+  }
+  return Accounts;
+}
+
+/// A fleet of one owner that acts for all shards.
+struct owner_setting {
+  vm_incarnation Self{vm_name("owner"), {1}};
+  std::vector<member> Members{{.Vm = vm_name("owner"),
+                               .DataCenter = data_center_name("a"),
+                               .Incarnation = {1}}};
+  ownership_view Ownership;
+
+  owner_setting() {
+    for (std::uint64_t Shard = 0; Shard < ShardCount; ++Shard) {
+      Ownership.Map.Shards[Shard] = shard_ownership{Self, {1}, {}};
+      Ownership.ActingUntil[{Shard}] = Start + 24h;
+    }
+  }
+};
+
+/// One borrower asks for shares of all accounts, over and over.
+void measureLending(std::size_t AccountCount) {
+  constexpr int Rounds = 20;
+  const owner_setting Owner;
+  const fleet_observed Fleet{Owner.Ownership, Owner.Members};
+  const std::vector<limited_account> Accounts = makeAccounts(AccountCount);
+  const std::size_t Before = heapBytes();
+  lending_machine Machine(Owner.Self, lending_options{});
+  Machine.handle(accounts_configured{Accounts}, Start);
+  Machine.handle(Fleet, Start);
+  share_request_batch Batch;
+  for (const limited_account &Account : Accounts)
+    Batch.Requests.push_back(
+        {.Account = Account.Id, .Epoch = {1}, .Demand = 5});
+  const vm_incarnation Borrower{vm_name("borrower"), {1}};
+  const double StartedAt = processorMicroseconds();
+  std::size_t Bytes = 0;
+  for (int Round = 1; Round <= Rounds; ++Round) {
+    Batch.Sequence = static_cast<std::uint64_t>(Round);
+    Bytes += encodeLimitsMessage(Batch).size();
+    const auto Answers = Machine.handle(
+        shares_requested{Borrower, Batch, Fleet}, Start + Round * 5s);
+    for (const addressed_grants &Answer : Answers)
+      Bytes += encodeLimitsMessage(Answer.Batch).size();
+  }
+  const double Handled = Rounds * static_cast<double>(AccountCount);
+  std::printf("lending accounts=%zu owner_bytes=%zu us_per_renewal=%.2f "
+              "bytes_per_renewal=%.0f\n",
+              AccountCount,
+              heapBytes() - Before -
+                  Batch.Requests.capacity() * sizeof(share_request),
+              (processorMicroseconds() - StartedAt) / Handled,
+              static_cast<double>(Bytes) / Handled);
+}
+
+/// A VM that has all accounts configured and none in use.
+void measureBorrowing(std::size_t AccountCount) {
+  constexpr int Rounds = 20;
+  const owner_setting Owner;
+  const std::vector<limited_account> Accounts = makeAccounts(AccountCount);
+  const std::size_t Before = heapBytes();
+  share_directory Directory;
+  borrowing_machine Machine({1}, lending_options{}, Directory);
+  Machine.configure(Accounts, Start);
+  const std::size_t Held = heapBytes() - Before;
+  const double StartedAt = processorMicroseconds();
+  for (int Round = 1; Round <= Rounds; ++Round)
+    Machine.poll(Owner.Ownership.Map, Start + Round * 100ms);
+  std::printf("borrowing accounts=%zu vm_bytes=%zu us_per_poll=%.0f\n",
+              AccountCount, Held,
+              (processorMicroseconds() - StartedAt) / Rounds);
+}
+
+/// The owner of one service gets a report from each observer twice a second.
+void measureHealth(std::size_t TargetCount) {
+  constexpr int Seconds = 30;
+  constexpr int Observers = 20;
+  service Declared{.Name = service_name("hive")};
+  for (std::size_t Index = 0; Index < TargetCount; ++Index)
+    Declared.Targets.push_back(
+        {.Name = target_name("hive-" + std::to_string(Index)),
+         .DataCenter = data_center_name("a")});
+  const std::size_t Before = heapBytes();
+  service_health Machine{service_health_options{}};
+  Machine.configure(Declared, Start);
+  Machine.beginTerm({1}, {});
+  const double StartedAt = processorMicroseconds();
+  for (int Half = 0; Half < 2 * Seconds; ++Half) {
+    const instant Now = Start + Half * 500ms;
+    for (int Observer = 0; Observer < Observers; ++Observer) {
+      const report_received Report{
+          .Observer = vm_name("vm-" + std::to_string(Observer)),
+          .DataCenter = data_center_name("a"),
+          .Report = {
+              .Service = Declared.Name,
+              .Period = 500ms,
+              .Requests = 100,
+              .Targets = {{.Target = targetIdOf(Declared.Targets[0].Name),
+                           .Requests = 5,
+                           .Failures = 1}}}};
+      Machine.handle(Report, Now);
+    }
+    Machine.handle(time_passed{}, Now);
+  }
+  std::printf("health targets=%zu owner_bytes=%zu us_per_second=%.0f\n",
+              TargetCount, heapBytes() - Before,
+              (processorMicroseconds() - StartedAt) / Seconds);
+}
+
+} // namespace
+
+int main() {
+  for (const fleet_size &Size :
+       {fleet_size{22, 556, 238, 1'000}, fleet_size{88, 2'225, 950, 4'000},
+        fleet_size{350, 8'900, 3'800, 16'000}})
+    measureConfiguration(Size);
+  for (std::size_t Accounts : {25, 100, 400, 1'600})
+    measureLending(Accounts);
+  for (std::size_t Accounts : {1'000, 4'000, 16'000})
+    measureBorrowing(Accounts);
+  for (std::size_t Targets : {7, 25, 100, 400})
+    measureHealth(Targets);
+}
--- a/tests/stand_ins/target/main.cpp
+++ b/tests/stand_ins/target/main.cpp
@@ -26,7 +26,7 @@
     if (Target == "/health")
       co_return handled{textResponse(200, "ok")};
     if (Behaviour.Shed)
-      co_return handled{shedResponse()};
+      co_return handled{shedResponse(Request)};
     record(Request);
     co_await work();
     co_return answer(Request);
@@ -57,22 +57,30 @@
     if (rolls(Behaviour.DropPercent))
       return {.Response = {}, .DropAnswer = true};
     if (rolls(Behaviour.FailPercent))
-      return {textResponse(500, "failed")};
+      return {failedResponse(Request)};
     std::string Body = Request.body();
     if (Behaviour.AnswerBytes > 0)
       Body.assign(Behaviour.AnswerBytes, 'a');
     http_response Response = textResponse(200, std::move(Body));
     Response.set("X-Target", FLAGS_name);
     Response.set("X-Request-Id", Request["X-Request-Id"]);
+    Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
     if (Behaviour.Draining)
       Response.set("Peridot-Target-State", "draining");
     return {.Response = std::move(Response),
             .TruncateAt = Behaviour.TruncateAt};
   }
 
-  static http_response shedResponse() {
+  static http_response failedResponse(const http_request &Request) {
+    http_response Response = textResponse(500, "failed");
+    Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
+    return Response;
+  }
+
+  static http_response shedResponse(const http_request &Request) {
     http_response Response = textResponse(503, "shed");
     Response.set("Peridot-Target-State", "shed");
+    Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
     return Response;
   }
 
