--- a/src/coordination/health/types/health_report.h
+++ b/src/coordination/health/types/health_report.h
@@ -31,7 +31,7 @@
   epoch Epoch; ///< Term of the owner that decided.
   std::uint64_t Number = 0;
 
-  auto operator<=>(const verdict_version &) const = default; // NOLINT
+  auto operator<=>(const verdict_version &) const = default;
 };
 
 /// One VM's report on one service.
--- a/src/coordination/limits/lending_machine.h
+++ b/src/coordination/limits/lending_machine.h
@@ -64,7 +64,7 @@
   struct pool_key {
     account_id Account;
     pool_kind Pool = pool_kind::Main;
-    auto operator<=>(const pool_key &) const = default; // NOLINT
+    auto operator<=>(const pool_key &) const = default;
   };
 
   void apply(const accounts_configured &Event, instant Now);
@@ -85,7 +85,7 @@
   struct heard_batch {
     incarnation Incarnation;
     std::uint64_t Sequence = 0;
-    auto operator<=>(const heard_batch &) const = default; // NOLINT
+    auto operator<=>(const heard_batch &) const = default;
   };
 
   bool owns(const ownership_view &Ownership, shard_number Shard,
--- a/src/coordination/membership/membership_machine.h
+++ b/src/coordination/membership/membership_machine.h
@@ -87,7 +87,7 @@
   struct report_key {
     vm_name Subject;
     vm_name Observer;
-    auto operator<=>(const report_key &) const = default; // NOLINT
+    auto operator<=>(const report_key &) const = default;
   };
   struct leaving_vm {
     incarnation Incarnation;
--- a/src/coordination/ownership/types/lease_messages.h
+++ b/src/coordination/ownership/types/lease_messages.h
@@ -49,7 +49,7 @@
   shard_number Shard;
   epoch Epoch;
 
-  auto operator<=>(const shard_term &) const = default; // NOLINT
+  auto operator<=>(const shard_term &) const = default;
 };
 
 /// An owner tells a successor that it has stopped acting for these terms and
--- a/src/coordination/rollout/internal/feeder_choice.cpp
+++ b/src/coordination/rollout/internal/feeder_choice.cpp
@@ -13,7 +13,7 @@
   std::uint64_t Weight = 0;
   vm_name Vm;
 
-  auto operator<=>(const ranked_vm &) const = default; // NOLINT
+  auto operator<=>(const ranked_vm &) const = default;
 };
 
 std::size_t rankOf(const vm_name &Vm, std::span<const vm_name> Ranked) {
--- a/src/state/base/types/identifiers.h
+++ b/src/state/base/types/identifiers.h
@@ -29,7 +29,7 @@
   vm_name Vm;
   incarnation Incarnation;
 
-  auto operator<=>(const vm_incarnation &) const = default; // NOLINT
+  auto operator<=>(const vm_incarnation &) const = default;
 };
 
 } // namespace peridot
--- a/src/state/base/types/instant.h
+++ b/src/state/base/types/instant.h
@@ -13,7 +13,7 @@
   using period = std::nano;
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true; // NOLINT: name is std::chrono's
+  static constexpr bool is_steady = true;
 };
 
 /// A moment on the boot clock of one VM; never compared between VMs.
--- a/src/state/base/types/strong_name.h
+++ b/src/state/base/types/strong_name.h
@@ -21,7 +21,7 @@
   const std::string &str() const { return Value; }
   bool empty() const { return Value.empty(); }
 
-  auto operator<=>(const strong_name &) const = default; // NOLINT
+  auto operator<=>(const strong_name &) const = default;
 
 private:
   std::string Value;
--- a/src/state/base/types/strong_number.h
+++ b/src/state/base/types/strong_number.h
@@ -13,7 +13,7 @@
 template <typename Tag> struct strong_number {
   std::uint64_t Value = 0;
 
-  auto operator<=>(const strong_number &) const = default; // NOLINT
+  auto operator<=>(const strong_number &) const = default;
   strong_number next() const { return {Value + 1}; }
 };
 
--- a/src/state/burn/burn_ledger.h
+++ b/src/state/burn/burn_ledger.h
@@ -28,7 +28,7 @@
   service_name Service;
   account_name Account; ///< Empty: open routes.
 
-  auto operator<=>(const burn_subject &) const = default; // NOLINT
+  auto operator<=>(const burn_subject &) const = default;
 };
 
 /// Windows that burn is reported over, shortest first.
--- a/src/state/metrics/metrics_registry.h
+++ b/src/state/metrics/metrics_registry.h
@@ -53,7 +53,7 @@
   std::string Metric;
   std::string Labels;
 
-  auto operator<=>(const series_name &) const = default; // NOLINT
+  auto operator<=>(const series_name &) const = default;
 };
 
 /// One counter's reading.
