Open all listeners in one place and never spin on a refused accept

Cause: three copies of the same listener code, and in each an accept that the system refuses (no file descriptors left) was repeated at once, so that the thread would have spun.

Ruled out: closing the listener on such an error; the shortage may pass.

Spinning was seen in the code, not in a run; no test brings the shortage about.

Conclusion: transport/runtime opens listeners and pauses after a refusal.

--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -7,6 +7,7 @@
 #include "transport/callers/internal/caller_session.h"
 #include "transport/callers/internal/service_queue.h"
 #include "transport/logging/event_log.h"
+#include "transport/runtime/listener.h"
 
 namespace peridot {
 
@@ -19,9 +20,6 @@
 
 } // namespace
 
-using reuse_port =
-    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-
 traffic_worker::traffic_worker(traffic_options Chosen,
                                metrics_registry &Metrics,
                                const std::string &ThreadName)
@@ -37,21 +35,10 @@
 result<std::uint16_t> traffic_worker::listen(std::uint16_t SharedPort) {
   if (SharedPort != 0)
     Options.Listen.port(SharedPort);
-  boost::system::error_code Error;
-  Acceptor.open(Options.Listen.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.set_option(reuse_port(true), Error);
-  if (!Error)
-    Acceptor.bind(Options.Listen, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return fail(error_kind::Unavailable,
-                "callers' port cannot be opened: " + Error.message(),
-                "choose another --listen_address or --caller_port");
-  return Acceptor.local_endpoint().port();
+  return openListener(Acceptor, {.Endpoint = Options.Listen,
+                                 .Purpose = "the callers' port",
+                                 .PortFlag = "caller_port",
+                                 .SharePort = true});
 }
 
 void traffic_worker::start() {
@@ -136,9 +123,9 @@
 
 task<void> traffic_worker::acceptCallers() {
   while (Acceptor.is_open()) {
-    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
-    if (!Error)
-      serve(std::move(Socket));
+    auto Socket = co_await acceptNext(Acceptor);
+    if (Socket)
+      serve(std::move(*Socket));
   }
 }
 
--- a/src/transport/operators/internal/operator_server.cpp
+++ b/src/transport/operators/internal/operator_server.cpp
@@ -1,4 +1,5 @@
 #include "transport/operators/operator_server.h"
+#include "transport/runtime/listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,19 +26,9 @@
       Acceptor(Loop) {}
 
 result<std::uint16_t> operator_server::listen() {
-  boost::system::error_code Error;
-  Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return fail(error_kind::Unavailable,
-                "the operators' port cannot be opened: " + Error.message(),
-                "choose another --listen_address or --operator_port");
-  return Acceptor.local_endpoint().port();
+  return openListener(Acceptor, {.Endpoint = Endpoint,
+                                 .Purpose = "the operators' port",
+                                 .PortFlag = "operator_port"});
 }
 
 void operator_server::start() {
@@ -46,9 +37,9 @@
 
 task<void> operator_server::acceptOperators() {
   while (Acceptor.is_open()) {
-    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
-    if (!Error)
-      asio::co_spawn(Loop, serve(tcp_stream(std::move(Socket))),
+    auto Socket = co_await acceptNext(Acceptor);
+    if (Socket)
+      asio::co_spawn(Loop, serve(tcp_stream(std::move(*Socket))),
                      asio::detached);
   }
 }
--- a/src/transport/peers/internal/peer_hub.cpp
+++ b/src/transport/peers/internal/peer_hub.cpp
@@ -8,6 +8,7 @@
 
 #include "transport/logging/event_log.h"
 #include "transport/peers/internal/peer_link.h"
+#include "transport/runtime/listener.h"
 
 namespace peridot {
 
@@ -46,19 +47,9 @@
 }
 
 result<std::uint16_t> peer_hub::listen() {
-  boost::system::error_code Error;
-  Acceptor.open(Options.Listen.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Options.Listen, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return fail(error_kind::Unavailable,
-                "the peer port cannot be opened: " + Error.message(),
-                "choose another --listen_address or --peer_port");
-  return Acceptor.local_endpoint().port();
+  return openListener(Acceptor, {.Endpoint = Options.Listen,
+                                 .Purpose = "the peer port",
+                                 .PortFlag = "peer_port"});
 }
 
 void peer_hub::start() { asio::co_spawn(Loop, acceptLinks(), asio::detached); }
@@ -97,9 +88,9 @@
 
 task<void> peer_hub::acceptLinks() {
   while (Acceptor.is_open()) {
-    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
-    if (!Error)
-      asio::co_spawn(Loop, receive(tcp_stream(std::move(Socket))),
+    auto Socket = co_await acceptNext(Acceptor);
+    if (Socket)
+      asio::co_spawn(Loop, receive(tcp_stream(std::move(*Socket))),
                      asio::detached);
   }
 }
