Write the text of a series label in one place

Cause: six places built name="value" for a counter by hand, two of them with the same function under the same name.

Ruled out: a typed list of labels in metrics_registry; every series has one to three labels and the text is looked up once or kept.

Conclusion: state/metrics has seriesLabel; behaviour is the same.

--- a/src/state/burn/internal/request_series.cpp
+++ b/src/state/burn/internal/request_series.cpp
@@ -1,13 +1,10 @@
 #include "state/burn/request_series.h"
 
+#include "state/metrics/series_label.h"
 namespace peridot {
 
 namespace {
 
-std::string label(std::string_view Name, std::string_view Value) {
-  return std::string(Name).append("=\"").append(Value).append("\"");
-}
-
 std::string_view labelValue(std::string_view Labels, std::string_view Name) {
   const std::string Prefix = std::string(Name) + "=\"";
   const std::size_t Start = Labels.find(Prefix);
@@ -60,9 +57,9 @@
 }
 
 std::string requestLabels(const burn_subject &Subject, request_end End) {
-  return label("service", Subject.Service.view()) + "," +
-         label("account", Subject.Account.view()) + "," +
-         label("outcome", nameOf(End));
+  return seriesLabel("service", Subject.Service.view()) + "," +
+         seriesLabel("account", Subject.Account.view()) + "," +
+         seriesLabel("outcome", nameOf(End));
 }
 
 std::optional<request_series> parseRequestLabels(std::string_view Labels) {
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -10,6 +10,7 @@
 #include "protocol/http/request_framing.h"
 #include "state/base/hashing.h"
 #include "state/base/types/overloaded.h"
+#include "state/metrics/series_label.h"
 #include "transport/callers/internal/request_relay.h"
 #include "transport/callers/internal/service_queue.h"
 
@@ -243,7 +244,7 @@
 task<bool> caller_session::refuse(const refusal &Refusal) {
   Worker.metrics()
       .counterOf("peridot_refusals_total",
-                 "kind=\"" + std::string(nameOf(Refusal.Kind)) + "\"")
+                 seriesLabel("kind", nameOf(Refusal.Kind)))
       .add();
   co_await dropSmallBody();
   co_return co_await sendText(statusOf(Refusal), "application/problem+json",
--- a/src/transport/callers/internal/request_meters.cpp
+++ b/src/transport/callers/internal/request_meters.cpp
@@ -1,15 +1,8 @@
 #include "transport/callers/request_meters.h"
 
+#include "state/metrics/series_label.h"
 namespace peridot {
 
-namespace {
-
-std::string label(std::string_view Name, std::string_view Value) {
-  return std::string(Name).append("=\"").append(Value).append("\"");
-}
-
-} // namespace
-
 void request_meters::record(request_end End,
                             std::chrono::nanoseconds Elapsed) const {
   const auto Index = static_cast<std::size_t>(End);
@@ -39,11 +32,11 @@
     Found.Requests[Index] = &Registry.counterOf(
         RequestsMetric,
         requestLabels(Subject, static_cast<request_end>(Index)));
-  Found.Latency =
-      &Registry.histogramOf("peridot_request_latency",
-                            label("service", Subject.Service.view()) + "," +
-                                label("account", Subject.Account.view()) + "," +
-                                label("route", Admitted.Route->PathPrefix));
+  Found.Latency = &Registry.histogramOf(
+      "peridot_request_latency",
+      seriesLabel("service", Subject.Service.view()) + "," +
+          seriesLabel("account", Subject.Account.view()) + "," +
+          seriesLabel("route", Admitted.Route->PathPrefix));
   return Found;
 }
 
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include "state/metrics/series_label.h"
 #include "transport/callers/internal/caller_session.h"
 #include "transport/callers/internal/service_queue.h"
 #include "transport/logging/event_log.h"
@@ -65,7 +66,7 @@
     return;
   Metrics
       .counterOf("peridot_connections_retired_total",
-                 "target=\"" + Target.str() + "\"")
+                 seriesLabel("target", Target.view()))
       .add(Retired);
   logEvent(log_level::Warning, "connections-retired",
            {{"target", Target.view()},
--- a/src/transport/peers/internal/peer_hub.cpp
+++ b/src/transport/peers/internal/peer_hub.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <openssl/rand.h>
 
+#include "state/metrics/series_label.h"
 #include "transport/logging/event_log.h"
 #include "transport/peers/internal/peer_link.h"
 #include "transport/runtime/listener.h"
@@ -161,7 +162,7 @@
   Known = Sender.Sender.Incarnation;
   Metrics
       .counterOf("peridot_peer_received_bytes_total",
-                 "subject=\"" + std::string(nameOf(Frame.Subject)) + "\"")
+                 seriesLabel("subject", nameOf(Frame.Subject)))
       .add(Frame.Body.size() + FrameOverhead);
   if (const auto Found = Handlers.find(Frame.Subject); Found != Handlers.end())
     Found->second(Sender, Frame.Body);
--- a/src/transport/peers/internal/peer_link.cpp
+++ b/src/transport/peers/internal/peer_link.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include "state/metrics/series_label.h"
 namespace peridot {
 
 namespace asio = boost::asio;
@@ -19,7 +20,7 @@
 constexpr std::chrono::seconds WriteTimeout{5};
 
 std::string subjectLabel(frame_subject Subject) {
-  return "subject=\"" + std::string(nameOf(Subject)) + "\"";
+  return seriesLabel("subject", nameOf(Subject));
 }
 
 } // namespace
