Give a VM that starts in an outage a peer's copy of the shard map

Cause: a VM that starts while the platform is away read the shard map from the platform only, knew no owner to borrow from, and answered keyed requests with 429 (KNOWN-RED, node_startedInOutage_highestRevisionOfPeers).

The copy only tells whom to ask; acting, claiming and witnessing wait for a map that was read, so the proof of single owners is untouched.

--- a/src/coordination/ownership/internal/ownership_machine.cpp
+++ b/src/coordination/ownership/internal/ownership_machine.cpp
@@ -87,6 +87,8 @@
     NextRead = Now + Options.Lease.AskPeriod / 2;
     Effects.emplace_back(read_shard_map{});
   }
+  if (!MapIsKnown)
+    askForMap(Now);
   if (!MapIsKnown || Members.empty())
     return;
   if (Leaving)
@@ -108,6 +110,34 @@
   releaseAll(release_cause::Leaving, Now);
 }
 
+void ownership_machine::askForMap(instant Now) {
+  std::vector<vm_name> Peers;
+  for (const member &Each : Members)
+    if (Each.Vm != Options.Self.Vm)
+      Peers.push_back(Each.Vm);
+  if (Peers.empty() || Now < NextMapQuestion)
+    return;
+  NextMapQuestion = Now + Options.Lease.AskPeriod / 2;
+  std::uniform_int_distribution<std::size_t> Any(0, Peers.size() - 1);
+  send(Peers[Any(Random)], map_question{});
+}
+
+void ownership_machine::onMessage(const vm_incarnation &Sender,
+                                  const map_question &, instant) {
+  if (MapIsKnown)
+    send(Sender.Vm, map_answer{MapVersion, Map});
+}
+
+// A peer's copy tells whom to ask. Acting, claiming and witnessing for
+// successors wait for a map that was read.
+void ownership_machine::onMessage(const vm_incarnation &,
+                                  const map_answer &Message, instant) {
+  if (MapIsKnown || Message.Version <= HeardVersion)
+    return;
+  HeardVersion = Message.Version;
+  Map = Message.Map;
+}
+
 void ownership_machine::adopt(std::uint64_t Version, shard_map Adopted) {
   MapIsKnown = true;
   const bool IsNewer = Version > MapVersion;
--- a/src/coordination/ownership/ownership_machine.h
+++ b/src/coordination/ownership/ownership_machine.h
@@ -37,8 +37,14 @@
   bool mayAct(shard_number Shard, instant Now) const;
   /// Shards that this VM owns and has not released, with the lease's end.
   std::unordered_map<shard_number, instant> actingUntil(instant Now) const;
+  /// The map that was read last; a peer's copy as long as none was read.
   const shard_map &map() const { return Map; }
+  /// Version of the map that was read last; 0 while none was read.
   std::uint64_t mapVersion() const { return MapVersion; }
+  /// Version of map(), read or heard of.
+  std::uint64_t shownVersion() const {
+    return MapIsKnown ? MapVersion : HeardVersion;
+  }
 
 private:
   /// A write that may still take effect, with the witnesses it records.
@@ -70,6 +76,10 @@
                  instant Now);
   void onMessage(const vm_incarnation &Sender, const shard_release &Message,
                  instant Now);
+  void onMessage(const vm_incarnation &Sender, const map_question &Message,
+                 instant Now);
+  void onMessage(const vm_incarnation &Sender, const map_answer &Message,
+                 instant Now);
 
   // Owner.
   void askWitnesses(instant Now);
@@ -98,6 +108,8 @@
   void takeOver(const vm_incarnation &Owner);
   void requestLapses(instant Now);
 
+  /// Asks one peer for its copy of the map.
+  void askForMap(instant Now);
   void adopt(std::uint64_t Version, shard_map Adopted);
   void noteOwnChanges(const shard_map &Before);
   bool isOwn(shard_number Shard) const;
@@ -118,11 +130,13 @@
 
   bool MapIsKnown = false;
   std::uint64_t MapVersion = 0;
+  std::uint64_t HeardVersion = 0;
   shard_map Map;
   std::vector<pending_write> Pending;
   bool WriteIsRunning = false;
   bool NeedsRead = true;
   instant NextRead;
+  instant NextMapQuestion;
   instant NextWrite;
   instant NextExchange;
   instant NextAsk;
--- /dev/null
+++ b/src/coordination/ownership/tests/map_copies_test.cpp
@@ -0,0 +1,73 @@
+#include <doctest/doctest.h>
+
+#include "coordination/ownership/ownership_machine.h"
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A VM that cannot read the shard map, and a peer that has read it.
+struct map_copies_fixture {
+  const vm_incarnation Self{vm_name("started"), {5}};
+  const vm_incarnation Peer{vm_name("peer"), {2}};
+  ownership_machine Machine{{.Self = Self}};
+  ownership_machine PeersMachine{{.Self = Peer}};
+  instant Now{1h};
+  shard_map Map;
+
+  map_copies_fixture() {
+    for (auto &Row : Map.Shards)
+      Row = shard_ownership{Peer, {4}, {{vm_name("earlier"), {1}}}};
+    const std::vector<member> Members = {{Self.Vm, data_center_name("a"), {}},
+                                         {Peer.Vm, data_center_name("b"), {}}};
+    Machine.handle(fleet_listed{Members}, Now);
+    PeersMachine.handle(fleet_listed{Members}, Now);
+    PeersMachine.handle(shard_map_read{7, Map}, Now);
+  }
+
+  /// Passes what one VM sends to the other VM, and its answers back.
+  void exchange(const ownership_machine::effects &Effects, bool FromSelf) {
+    for (const ownership_effect &Effect : Effects) {
+      const auto *Sent = std::get_if<send_lease_message>(&Effect);
+      if (!Sent || Sent->Peer != (FromSelf ? Peer.Vm : Self.Vm))
+        continue;
+      ownership_machine &Other = FromSelf ? PeersMachine : Machine;
+      exchange(Other.handle(lease_message_received{FromSelf ? Self : Peer,
+                                                   Sent->Message},
+                            Now),
+               !FromSelf);
+    }
+  }
+
+  void tick() { exchange(Machine.handle(lease_tick{}, Now), true); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(map_copies_fixture, "vm_mapNotRead_showsThePeersCopy") {
+  tick();
+  CHECK(Machine.map() == Map);
+  CHECK(Machine.shownVersion() == 7);
+}
+
+TEST_CASE_FIXTURE(map_copies_fixture, "vm_mapOnlyHeard_stillHasItToRead") {
+  tick();
+  CHECK(Machine.mapVersion() == 0);
+  Now += 10s;
+  for (const ownership_effect &Effect : Machine.handle(lease_tick{}, Now))
+    CHECK_FALSE(std::holds_alternative<write_shard_map>(Effect));
+}
+
+TEST_CASE_FIXTURE(map_copies_fixture, "vm_mapRead_copyOfPeerIgnored") {
+  Machine.handle(shard_map_read{6, {}}, Now);
+  Machine.handle(lease_message_received{Peer, map_answer{7, Map}}, Now);
+  CHECK(Machine.map() == shard_map{});
+  CHECK(Machine.shownVersion() == 6);
+}
+
+TEST_CASE_FIXTURE(map_copies_fixture, "peer_mapNotRead_givesNoCopy") {
+  PeersMachine = ownership_machine({.Self = Peer});
+  tick();
+  CHECK(Machine.shownVersion() == 0);
+}
--- a/src/coordination/ownership/types/lease_messages.h
+++ b/src/coordination/ownership/types/lease_messages.h
@@ -60,7 +60,21 @@
   bool operator==(const shard_release &) const = default;
 };
 
-using lease_message = std::variant<lease_question, lease_answer, lease_lapse,
-                                   lapse_request, shard_release>;
+/// A VM that could not read the shard map yet asks for a peer's copy.
+struct map_question {
+  bool operator==(const map_question &) const = default;
+};
+
+/// The map as the sender last read it; it may be out of date.
+struct map_answer {
+  std::uint64_t Version = 0;
+  shard_map Map;
+
+  bool operator==(const map_answer &) const = default;
+};
+
+using lease_message =
+    std::variant<lease_question, lease_answer, lease_lapse, lapse_request,
+                 shard_release, map_question, map_answer>;
 
 } // namespace peridot
--- a/src/protocol/ownership_messages/internal/lease_codec.cpp
+++ b/src/protocol/ownership_messages/internal/lease_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <lease_messages_generated.h>
 
+#include "protocol/ownership_messages/shard_map_document.h"
 #include "state/base/types/overloaded.h"
 
 namespace peridot {
@@ -60,6 +61,17 @@
           wire::CreateShardRelease(Builder, Offset).Union()};
 }
 
+encoded_body encodeBody(FlatBufferBuilder &Builder, const map_question &) {
+  return {wire::LeaseBody_MapQuestion,
+          wire::CreateMapQuestion(Builder).Union()};
+}
+
+encoded_body encodeBody(FlatBufferBuilder &Builder, const map_answer &Message) {
+  const auto Map = Builder.CreateString(encodeShardMap(Message.Map));
+  return {wire::LeaseBody_MapAnswer,
+          wire::CreateMapAnswer(Builder, Message.Version, Map).Union()};
+}
+
 vm_incarnation incarnationOf(const flatbuffers::String *Vm,
                              std::uint64_t Number) {
   return {vm_name(std::string_view(Vm->c_str(), Vm->size())), {Number}};
@@ -75,6 +87,14 @@
   return Release;
 }
 
+std::optional<map_answer> mapFrom(const wire::MapAnswer &Wire) {
+  auto Map =
+      decodeShardMap(std::string_view(Wire.map()->c_str(), Wire.map()->size()));
+  if (!Map)
+    return std::nullopt;
+  return map_answer{Wire.version(), *std::move(Map)};
+}
+
 std::optional<lease_message> messageFrom(const wire::LeaseMessage &Wire) {
   switch (Wire.body_type()) {
   case wire::LeaseBody_LeaseQuestion:
@@ -95,6 +115,10 @@
   }
   case wire::LeaseBody_ShardRelease:
     return releaseFrom(*Wire.body_as_ShardRelease());
+  case wire::LeaseBody_MapQuestion:
+    return map_question{};
+  case wire::LeaseBody_MapAnswer:
+    return mapFrom(*Wire.body_as_MapAnswer());
   default:
     return std::nullopt;
   }
--- a/src/transport/node/internal/ownership_driver.cpp
+++ b/src/transport/node/internal/ownership_driver.cpp
@@ -83,8 +83,8 @@
 }
 
 void ownership_driver::refreshView() {
-  if (ViewVersion != Machine.mapVersion()) {
-    ViewVersion = Machine.mapVersion();
+  if (ViewVersion != Machine.shownVersion()) {
+    ViewVersion = Machine.shownVersion();
     Context.Ownership.Map = Machine.map();
   }
   Context.Ownership.ActingUntil = Machine.actingUntil(Context.Timers.now());
