Wait 500 ms for an account's home and ask again after 150 ms

The wait is a small machine of its own (rate_wait). A refusal tells which VM is the home and whether it answered.

--- a/src/coordination/hosting/account_buckets.h
+++ b/src/coordination/hosting/account_buckets.h
@@ -54,6 +54,7 @@
     token_bucket Own;
     token_bucket Kept;
     rate_limit Whole;
+    vm_name Home;
     home_answers Given;
     home_answers Declined;
     bool IsLimited = false;
--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -56,6 +56,7 @@
   /// Requests that a new bucket for that holds.
   double KeptAtFirst = 0;
   rate_limit Whole; ///< The account's limit over all VMs.
+  vm_name Home;     ///< Empty while no VM is known to be a steady host.
 };
 
 /// VMs of all data centres, in any order.
--- a/src/coordination/hosting/internal/account_buckets.cpp
+++ b/src/coordination/hosting/internal/account_buckets.cpp
@@ -59,6 +59,7 @@
     Bucket.Given.age();
     Bucket.Declined.age();
     Bucket.Whole = Part.Whole;
+    Bucket.Home = Part.Home;
     Bucket.Own.configure(Part.Limit, Part.AtFirst, Now);
     Bucket.Kept.configure(Part.Kept, Part.KeptAtFirst, Now);
     Bucket.IsLimited = true;
@@ -82,9 +83,10 @@
   const double Seconds = (1 - Own.Tokens) / std::max(Rate, LeastRate);
   return rate_refused{.RetryAfter = std::chrono::milliseconds(
                           static_cast<std::int64_t>(Seconds * 1'000) + 1),
-                      .ShareRequested = Question == rate_question::First ||
+                      .ShareRequested = Question != rate_question::Look ||
                                         !Bucket.Declined.take(),
-                      .Part = Own.Limit};
+                      .Part = Own.Limit,
+                      .Home = Bucket.Home};
 }
 
 unsigned account_buckets::giveAway(const account_name &Account,
--- a/src/coordination/hosting/internal/demand_shares.cpp
+++ b/src/coordination/hosting/internal/demand_shares.cpp
@@ -192,8 +192,9 @@
     account_part Each{.Account = Account.Name,
                       .Limit = partOf(Account.Limit, Part),
                       .AtFirst = AtFirst * Part,
-                      .Whole = Account.Limit};
-    if (homeOf(Account.Name, Vms.Homes) == Self) {
+                      .Whole = Account.Limit,
+                      .Home = homeOf(Account.Name, Vms.Homes)};
+    if (Each.Home == Self) {
       Each.Kept = partOf(Account.Limit, HomePart);
       Each.KeptAtFirst = AtFirst * HomePart;
     }
--- a/src/coordination/hosting/tests/demand_shares_test.cpp
+++ b/src/coordination/hosting/tests/demand_shares_test.cpp
@@ -261,8 +261,21 @@
         .ShareRequested;
   };
   CHECK(Asked(rate_question::First));
-  CHECK(!Asked(rate_question::Again));
-  CHECK(Asked(rate_question::Again));
+  CHECK(!Asked(rate_question::Look));
+  CHECK(Asked(rate_question::Look));
+}
+
+TEST_CASE("accountBuckets_askedAgain_waitsWithoutCountingAsDemand") {
+  account_buckets Buckets;
+  const instant Now{std::chrono::seconds(100)};
+  Buckets.configure(
+      std::vector<account_part>{{.Account = Keepers, .Home = vm_name("home")}},
+      Now);
+  Buckets.take(Keepers, rate_question::First, Now);
+  const auto Again = Buckets.take(Keepers, rate_question::Repeat, Now);
+  CHECK(std::get<rate_refused>(Again).ShareRequested);
+  CHECK(std::get<rate_refused>(Again).Home == vm_name("home"));
+  CHECK(Buckets.takeDemand(std::chrono::seconds(1)).front().PerSecond == 1);
 }
 
 TEST_CASE("accountBuckets_given_keptForOneReconfigurationOnly") {
@@ -271,7 +284,7 @@
   const std::vector<account_part> Parts{{Keepers, {0, 0}}};
   const auto Admits = [&] {
     return std::holds_alternative<rate_admitted>(
-        Buckets.take(Keepers, rate_question::Again, Now));
+        Buckets.take(Keepers, rate_question::Look, Now));
   };
   Buckets.configure(Parts, Now);
   Buckets.receive(Keepers, 2);
@@ -304,7 +317,7 @@
   Other.receive(Keepers, 4);
   int Admitted = 0;
   while (std::holds_alternative<rate_admitted>(
-      Other.take(Keepers, rate_question::Again, Now)))
+      Other.take(Keepers, rate_question::Look, Now)))
     ++Admitted;
   CHECK(Admitted == 4);
 }
--- /dev/null
+++ b/src/coordination/limits/tests/rate_wait_test.cpp
@@ -0,0 +1,35 @@
+#include "coordination/limits/rate_wait.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct rate_wait_fixture {
+  const instant Start{1h};
+  rate_wait Wait{Start};
+  rate_refused Refused{
+      .ShareRequested = true, .Patience = 500ms, .AskAgainAfter = 150ms};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(rate_wait_fixture, "request_shareDeclined_waitsNoMore") {
+  CHECK(Wait.goesOn(Refused, Start + 4ms));
+  Refused.ShareRequested = false;
+  CHECK_FALSE(Wait.goesOn(Refused, Start + 4ms));
+}
+
+TEST_CASE_FIXTURE(rate_wait_fixture, "request_noAnswer_waitsForItsPatience") {
+  CHECK(Wait.goesOn(Refused, Start + 499ms));
+  CHECK_FALSE(Wait.goesOn(Refused, Start + 500ms));
+}
+
+TEST_CASE_FIXTURE(rate_wait_fixture, "request_noAnswer_asksAgainEachPeriod") {
+  CHECK(Wait.next(Refused, Start + 149ms) == rate_question::Look);
+  CHECK(Wait.next(Refused, Start + 150ms) == rate_question::Repeat);
+  CHECK(Wait.next(Refused, Start + 154ms) == rate_question::Look);
+  CHECK(Wait.next(Refused, Start + 300ms) == rate_question::Repeat);
+}
--- a/src/coordination/limits/types/rate_decision.h
+++ b/src/coordination/limits/types/rate_decision.h
@@ -17,14 +17,19 @@
   std::chrono::milliseconds RetryAfter{0}; ///< When a share is expected.
   /// This VM holds no share yet and has asked for one: worth a short wait.
   bool ShareRequested = false;
-  /// Then the time between two looks for it, and how long it may take.
+  /// Then the time between two looks for it, how long it may take, and the time
+  /// after which it is asked for again.
   std::chrono::milliseconds LookAfter{100};
   std::chrono::milliseconds Patience{3'000};
+  std::chrono::milliseconds AskAgainAfter{3'000};
   rate_limit Part; ///< This VM's part of the limit; zero: not known.
+  /// The VM that was asked for a share; empty: none.
+  vm_name Home;
 };
 
-/// Whether a request asks for the first time or looks for a requested share.
-enum class rate_question { First, Again };
+/// What a request does about a share: asks for one, looks for the one that it
+/// asked for, or asks once more as no answer came.
+enum class rate_question { First, Look, Repeat };
 
 using rate_decision = std::variant<rate_admitted, rate_refused>;
 
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include "coordination/limits/rate_wait.h"
 #include "coordination/routing/address_order.h"
 #include "protocol/http/beast_view.h"
 #include "protocol/http/header_rules.h"
@@ -63,6 +64,15 @@
                               : request_end::Answered;
 }
 
+/// What came of asking the account's home for a request.
+std::string homesWord(const rate_refused &Refused) {
+  if (Refused.Home.empty())
+    return "";
+  return "; its home " + Refused.Home.str() +
+         (Refused.ShareRequested ? " did not answer in time"
+                                 : " has none left");
+}
+
 refusal rateExceeded(const client_account &Account,
                      const rate_refused &Refused) {
   std::array<char, 160> Text{};
@@ -73,7 +83,7 @@
                 Refused.Part.Burst, Account.Limit.RequestsPerSecond,
                 Account.Limit.Burst);
   return {.Kind = refusal_kind::RateExceeded,
-          .Detail = Text.data(),
+          .Detail = Text.data() + homesWord(Refused),
           .RetryAfter = Refused.RetryAfter};
 }
 
@@ -244,15 +254,14 @@
 
 task<rate_decision> caller_session::takeRate(const client_account &Account) {
   boost::asio::steady_timer Delay(Worker.loop());
-  const auto Start = std::chrono::steady_clock::now();
+  rate_wait Wait(bootNow());
   rate_decision Rate = Worker.takeRate(Account, rate_question::First);
   while (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
-    if (!Refused->ShareRequested ||
-        std::chrono::steady_clock::now() - Start >= Refused->Patience)
+    if (!Wait.goesOn(*Refused, bootNow()))
       break;
     Delay.expires_after(Refused->LookAfter);
     co_await Delay.async_wait(UseTaskTuple);
-    Rate = Worker.takeRate(Account, rate_question::Again);
+    Rate = Worker.takeRate(Account, Wait.next(*Refused, bootNow()));
   }
   co_return Rate;
 }
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -16,10 +16,12 @@
 constexpr std::chrono::milliseconds TickPeriod{500};
 /// Demands are told with every such tick.
 constexpr std::uint64_t DemandTicks = 2;
-/// Time between two looks whether the home of an account gave a request, and
-/// the longest wait for it, in which a link may have to be opened first.
+/// Time between two looks whether the home of an account gave a request, the
+/// longest wait for it, in which a link may have to be opened first, and the
+/// time after which question or answer count as lost.
 constexpr std::chrono::milliseconds GivenRateLook{4};
-constexpr std::chrono::milliseconds GivenRatePatience{100};
+constexpr std::chrono::milliseconds GivenRatePatience{500};
+constexpr std::chrono::milliseconds GivenRateRepeat{150};
 /// Part of the fleet's retry budget that is used; the rest absorbs that VMs
 /// do not agree on the number of hosts at every moment.
 constexpr double RetrySafety = 0.9;
@@ -225,7 +227,8 @@
     return Decision;
   Refused->LookAfter = GivenRateLook;
   Refused->Patience = GivenRatePatience;
-  if (Question == rate_question::First)
+  Refused->AskAgainAfter = GivenRateRepeat;
+  if (Question != rate_question::Look)
     boost::asio::post(Services.Loop,
                       [this, Name = Account.Name] { askHome(Name); });
   return Decision;
