Explain a request from logs: peridotctl explain request ID FILE

Lines carry the VM. A VM that stood still for 250 ms or more says so. The command shows a request's lines, what else failed at its targets within 2 s, and what its VMs learnt in the 10 s before.

Tests: log lines read again, three cases of the command, a stopped and continued node (seen failing first: no such line, no such command).

--- a/apps/peridotctl/explain_command.cpp
+++ b/apps/peridotctl/explain_command.cpp
@@ -56,6 +56,8 @@
 } // namespace
 
 exit_code runExplain(const command_line &Line) {
+  if (!Line.Operands.empty() && Line.Operands[0] == "request")
+    return explainRequest(Line);
   if (Line.Operands.size() != 2 ||
       std::ranges::find(Kinds, Line.Operands[0]) == Kinds.end())
     return reportError(
--- a/apps/peridotport/main.cpp
+++ b/apps/peridotport/main.cpp
@@ -58,11 +58,9 @@
     sigwait(&Signals, &Signal);
 }
 
-void logPorts(const peridot::node_settings &Settings,
-              const peridot::node_ports &Ports) {
+void logPorts(const peridot::node_ports &Ports) {
   peridot::logEvent(peridot::log_level::Info, "listening",
-                    {{"vm", Settings.Vm.view()},
-                     {"caller_port", std::int64_t{Ports.Caller}},
+                    {{"caller_port", std::int64_t{Ports.Caller}},
                      {"peer_port", std::int64_t{Ports.Peer}},
                      {"operator_port", std::int64_t{Ports.Operator}}});
 }
@@ -83,7 +81,7 @@
   sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  peridot::startEventLog(Argv[0]);
+  peridot::startEventLog(Argv[0], Settings->Vm.view());
   // An operator's wish to drain takes the same way as SIGTERM.
   Settings->OnDrain = [] { kill(getpid(), SIGTERM); };
   peridot::node Node(*Settings);
@@ -92,10 +90,9 @@
     peridot::logError("start-failed", Ports.error());
     return ExitCannotStart;
   }
-  logPorts(*Settings, *Ports);
+  logPorts(*Ports);
   serveUntilStopped(Signals, Node);
-  peridot::logEvent(peridot::log_level::Info, "stop-asked",
-                    {{"vm", Settings->Vm.view()}});
+  peridot::logEvent(peridot::log_level::Info, "stop-asked", {});
   // A second signal, or the end of the shutdown, wakes this thread again.
   Node.beginShutdown([] { kill(getpid(), SIGTERM); });
   awaitStopSignal(Signals);
--- a/src/transport/logging/event_log.h
+++ b/src/transport/logging/event_log.h
@@ -22,7 +22,8 @@
 enum class log_level { Info, Warning, Error };
 
 /// Sets glog up to print bare lines. Called once, before any thread starts.
-void startEventLog(const char *ProgramName);
+/// \param Vm is named in each line; empty: none.
+void startEventLog(const char *ProgramName, std::string_view Vm);
 
 /// Writes one line: time, level, event and fields. Event names are stable.
 /// Never blocks. Texts are cut at 512 bytes.
--- a/src/transport/logging/internal/event_log.cpp
+++ b/src/transport/logging/internal/event_log.cpp
@@ -29,6 +29,12 @@
   return Limiter;
 }
 
+/// Set before any thread starts.
+std::string &writersName() {
+  static std::string Name;
+  return Name;
+}
+
 /// True if a line can be written without waiting for the reader.
 bool outputTakesLine() {
   pollfd Output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
@@ -99,6 +105,8 @@
   json::object Line;
   Line["time"] = timestamp(std::chrono::system_clock::now());
   Line["level"] = view(nameOf(Level));
+  if (!writersName().empty())
+    Line["vm"] = view(writersName());
   Line["event"] = view(Event);
   for (const log_field &Field : Fields)
     Line[view(Field.Key)] = toJson(Field);
@@ -107,7 +115,8 @@
 
 } // namespace
 
-void startEventLog(const char *ProgramName) {
+void startEventLog(const char *ProgramName, std::string_view Vm) {
+  writersName() = Vm;
   // Each line is written at once and whole.
   std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   FLAGS_logtostdout = true;
--- a/src/transport/logging/tests/event_log_test.cpp
+++ b/src/transport/logging/tests/event_log_test.cpp
@@ -65,7 +65,7 @@
 }
 
 TEST_CASE_FIXTURE(full_output_fixture, "logEvent_nobodyReads_returns") {
-  startEventLog("event_log_test");
+  startEventLog("event_log_test", "vm-1");
   // Far more than a pipe holds; a write that blocked would end the test.
   const std::string Text(500, 'x');
   for (int Event = 0; Event < 2'000; ++Event) {
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -10,6 +10,7 @@
 
 #include "transport/logging/event_log.h"
 #include "transport/node/internal/native_control.h"
+#include "transport/node/internal/stall_watch.h"
 #include "transport/node/internal/store_control.h"
 
 namespace peridot {
@@ -90,6 +91,7 @@
   snapshot_publisher Snapshots{Workers};
   node_services Services;
   burn_driver Burn{Services};
+  stall_watch Stalls{Timers};
   std::variant<std::unique_ptr<native_control>, std::unique_ptr<store_control>>
       Plane;
   operator_pages Pages;
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -129,8 +129,7 @@
     Pause = std::min(LongestJoinRetry, Pause * 2);
   }
   logEvent(log_level::Info, "registered",
-           {{"vm", Settings.Vm.view()},
-            {"data_center", Settings.DataCenter.view()}});
+           {{"data_center", Settings.DataCenter.view()}});
 }
 
 task<void> store_control::withdraw() {
--- a/tests/integration/store_plane_test.cpp
+++ b/tests/integration/store_plane_test.cpp
@@ -65,6 +65,14 @@
   CHECK(call(0, "/elsewhere/") == 404);
 }
 
+TEST_CASE_FIXTURE(store_plane_fixture, "node_stoodStill_saysForHowLong") {
+  Nodes[0]->Node.Process->signal(SIGSTOP);
+  std::this_thread::sleep_for(1s);
+  Nodes[0]->Node.Process->signal(SIGCONT);
+  const std::string Line = Nodes[0]->Node.Process->awaitLine("\"stood-still\"");
+  CHECK(jsonInteger(Line, "for_ms") >= 500);
+}
+
 TEST_CASE_FIXTURE(store_plane_fixture,
                   "nodes_firstAnswers_neverWithoutTargets") {
   for (const auto &Node : Nodes) {
