Keep the floor of targets that seem well in use at all times

At 28 s all VMs were about to be killed; 6 of 14 sound targets were in use. Ruled out: targets missing in the registry (196 of 196 in use).

The floor now holds at all times for the targets that seem well, and for all of them while much fails, as before.

The test of few failing attempts lets its targets fail twice: after one failure among many good answers a target seems well (0.13), which the test now checks itself.

--- a/src/coordination/steering/internal/target_steering.cpp
+++ b/src/coordination/steering/internal/target_steering.cpp
@@ -109,24 +109,34 @@
   return Known && Now - Known->UsedAt < Floor.Period;
 }
 
+bool target_steering::muchFails(std::span<const target> Candidates,
+                                const steering_moment &Moment) const {
+  double Attempts = Floor.AssumedGood;
+  double Failures = 0;
+  for (const target &Each : Candidates) {
+    const known_target *Known = find(Each.Name);
+    if (!Known || Each.DataCenter != Moment.DataCenter)
+      continue;
+    Attempts += Known->Lately.attempts(Moment.Now);
+    Failures += Known->Lately.failures(Moment.Now);
+  }
+  return Failures > Attempts * Floor.FailedShare;
+}
+
 bool target_steering::belowFloor(std::span<const target> Candidates,
                                  const steering_moment &Moment) const {
-  double Near = 0;
+  const double MostIllness =
+      muchFails(Candidates, Moment) ? 1 : Floor.SoundBelow;
+  double Sound = 0;
   double Used = 0;
-  double Attempts = Floor.AssumedGood;
-  double Failures = 0;
   for (const target &Each : Candidates) {
-    if (Each.DataCenter != Moment.DataCenter)
+    if (Each.DataCenter != Moment.DataCenter ||
+        illness(Each.Name, Moment.Now) > MostIllness)
       continue;
-    Near += 1;
+    Sound += 1;
     Used += usedLately(Each, Moment.Now) ? 1 : 0;
-    if (const known_target *Known = find(Each.Name)) {
-      Attempts += Known->Lately.attempts(Moment.Now);
-      Failures += Known->Lately.failures(Moment.Now);
-    }
   }
-  return Failures > Attempts * Floor.FailedShare &&
-         Used < Near * std::min(1.0, Floor.Share + Floor.Margin);
+  return Used < Sound * std::min(1.0, Floor.Share + Floor.Margin);
 }
 
 const target *target_steering::cheapest(std::span<const target> Candidates,
--- a/src/coordination/steering/target_steering.h
+++ b/src/coordination/steering/target_steering.h
@@ -96,8 +96,10 @@
   double othersAt(const known_target &Known, instant Now) const;
   double loadCost(double Own, double Others, double Slots) const;
   bool usedLately(const target &Target, instant Now) const;
-  /// True if many attempts at the targets of this data centre fail and too few
-  /// of these are in use.
+  /// True if many attempts at the targets of this data centre fail.
+  bool muchFails(std::span<const target> Targets,
+                 const steering_moment &Moment) const;
+  /// True if too few targets of this data centre are in use.
   bool belowFloor(std::span<const target> Targets,
                   const steering_moment &Moment) const;
   /// The target with the least cost that was not tried; \p UnusedOnly: of those
--- a/src/coordination/steering/tests/target_steering_test.cpp
+++ b/src/coordination/steering/tests/target_steering_test.cpp
@@ -146,14 +146,27 @@
                   "choose_fewAttemptsFail_illTargetsLeftOut") {
   makeTen();
   targetsUsed(100);
-  for (const char *Name : {"h", "i", "j"})
-    fail(Name);
+  for (const char *Name : {"h", "i", "j"}) {
+    fail(Name, 2);
+    REQUIRE(Steering.illness(target_name(Name), Now) >
+            floor_options{}.SoundBelow);
+  }
   Now += std::chrono::milliseconds(1'500);
   const std::set<std::string> Used = targetsUsed(30);
   for (const char *Name : {"h", "i", "j"})
     CHECK(!Used.contains(Name));
 }
 
+TEST_CASE_FIXTURE(target_steering_fixture,
+                  "choose_failuresLongAgo_floorOfTargetsGetsRequests") {
+  makeTen();
+  targetsUsed(100);
+  for (const char *Name : {"g", "h", "i", "j"})
+    fail(Name, 2);
+  Now += std::chrono::seconds(5);
+  CHECK(targetsUsed(30).size() >= 8);
+}
+
 TEST_CASE_FIXTURE(target_steering_fixture,
                   "choose_onlyTriedOnesBelowTheFloor_anotherChosen") {
   fail("near-1", 9);
--- a/src/coordination/steering/types/steering_options.h
+++ b/src/coordination/steering/types/steering_options.h
@@ -52,8 +52,9 @@
   double Jitter = 0.03;
 };
 
-/// Which part of a service's targets stays in use while many attempts at them
-/// fail: where much fails, evidence against single targets is weak.
+/// Which part of a service's targets stays in use: of those that seem well, and
+/// of all while many attempts fail, as evidence against single targets is weak
+/// then.
 struct floor_options {
   /// Part of a service's sound targets that must get requests.
   double Share = 0.7;
@@ -61,7 +62,9 @@
   double Margin = 0.1;
   /// Time within which they must get one.
   duration Period = std::chrono::milliseconds(1'500);
-  /// Part of the attempts that fail from which on the floor holds.
+  /// Illness up to which a target seems well.
+  double SoundBelow = 0.5;
+  /// Part of the attempts that fail from which on all targets count.
   double FailedShare = 0.09;
   /// Good attempts that are assumed besides those seen.
   double AssumedGood = 4;
