--- a/src/coordination/hosting/internal/account_buckets.cpp
+++ b/src/coordination/hosting/internal/account_buckets.cpp
@@ -72,8 +72,10 @@
   bucket &Bucket = Buckets[Account];
   if (Question == rate_question::First)
     ++Bucket.Asked;
+  // What the home gave is for those who have asked.
+  const bool HasAsked = Question != rate_question::First;
   if (!Bucket.IsLimited || Bucket.Own.take(Now) || Bucket.Kept.take(Now) ||
-      Bucket.Given.take())
+      (HasAsked && Bucket.Given.take()))
     return rate_admitted{};
   // With the whole limit at the home, the home's next token is what counts.
   const token_bucket &Own = Bucket.Own;
--- a/src/coordination/hosting/tests/demand_shares_test.cpp
+++ b/src/coordination/hosting/tests/demand_shares_test.cpp
@@ -278,6 +278,17 @@
   CHECK(Buckets.takeDemand(std::chrono::seconds(1)).front().PerSecond == 1);
 }
 
+TEST_CASE("accountBuckets_given_notTakenByNewcomers") {
+  account_buckets Buckets;
+  const instant Now{std::chrono::seconds(100)};
+  Buckets.configure(std::vector<account_part>{{Keepers, {0, 0}}}, Now);
+  Buckets.receive(Keepers, 1);
+  CHECK(std::holds_alternative<rate_refused>(
+      Buckets.take(Keepers, rate_question::First, Now)));
+  CHECK(std::holds_alternative<rate_admitted>(
+      Buckets.take(Keepers, rate_question::Look, Now)));
+}
+
 TEST_CASE("accountBuckets_given_keptForOneReconfigurationOnly") {
   account_buckets Buckets;
   const instant Now{std::chrono::seconds(100)};
