Break nothing off at a target that works while the VM leaves

A leaving VM waits for the answer until the deadline. An attempt that began just before the VM was asked to leave still has its shorter limit; not mended.

--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -127,8 +127,9 @@
 request_relay::answerLimit(const route &Route,
                            const retry_budget &Retries) const {
   const duration Usual = Worker.routeTimes().usual(Route);
-  if (!Route.Repeatable || Sent + 1 >= Route.MaxAttempts || !Retries.has() ||
-      !Request.is_done() || Usual == duration{0})
+  // A leaving VM breaks nothing off at which a target may be at work.
+  if (isLeaving() || !Route.Repeatable || Sent + 1 >= Route.MaxAttempts ||
+      !Retries.has() || !Request.is_done() || Usual == duration{0})
     return Deadline;
   const auto Patience =
       std::max<duration>(Usual * UsualTimesWaited, LeastPatience);
@@ -162,8 +163,11 @@
 
 bool request_relay::mayKeepCaller() const {
   // What is left of a body must not be read as the next request.
-  return Request.is_done() && Request.get().keep_alive() &&
-         !Worker.shuttingDown() && !Worker.snapshot()->Leaving;
+  return Request.is_done() && Request.get().keep_alive() && !isLeaving();
+}
+
+bool request_relay::isLeaving() const {
+  return Worker.shuttingDown() || Worker.snapshot()->Leaving;
 }
 
 bool request_relay::diedBeforeUse(const attempt_result &Result,
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -137,6 +137,7 @@
 
   bool isLate() const { return std::chrono::steady_clock::now() >= Deadline; }
   bool mayKeepCaller() const;
+  bool isLeaving() const;
   /// True if an attempt failed only because its reused connection had died.
   bool diedBeforeUse(const attempt_result &Result, const route &Route) const;
 
--- a/tests/integration/store_attempts_test.cpp
+++ b/tests/integration/store_attempts_test.cpp
@@ -77,6 +77,20 @@
   CHECK(servedWithin(1s, "/logs/1", 12) == 12);
 }
 
+TEST_CASE_FIXTURE(store_attempts_fixture,
+                  "node_leaving_slowTargetsNotLeftWhileAtWork") {
+  REQUIRE(servedWithin(1s, "/logs/1", 20) == 20);
+  for (const auto &Each : Targets)
+    Each->Target.behave("delay_ms=700");
+  http_connection Open(Nodes.front()->Node.CallerPort);
+  Nodes.front()->Node.Process->signal(SIGTERM);
+  Nodes.front()->Node.Process->awaitLine("\"shutdown-started\"");
+  const int Before = runs();
+  CHECK(keyedCall(Open, "/logs/1", "keeper-key", "leaving", "hive").Status ==
+        200);
+  CHECK(runs() == Before + 1);
+}
+
 TEST_CASE_FIXTURE(store_attempts_fixture,
                   "node_targetsLeaveDuringAttempt_nextAttemptGoesToNone") {
   for (const auto &Each : Targets)
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -158,15 +158,22 @@
                      "calls");
 }
 
+http_answer keyedCall(http_connection &Connection, const std::string &Path,
+                      const std::string &Key, const std::string &Id,
+                      const std::string &Body) {
+  return Connection.call({.Method = "POST",
+                          .Path = Path,
+                          .Fields = {{"Authorization", "Bearer " + Key},
+                                     {"X-Request-Id", Id},
+                                     {"X-Deadline-Ms", "2000"}},
+                          .Body = Body});
+}
+
 http_answer keyedCall(std::uint16_t Port, const std::string &Path,
                       const std::string &Key, const std::string &Id,
                       const std::string &Body) {
-  return httpCall(Port, {.Method = "POST",
-                         .Path = Path,
-                         .Fields = {{"Authorization", "Bearer " + Key},
-                                    {"X-Request-Id", Id},
-                                    {"X-Deadline-Ms", "2000"}},
-                         .Body = Body});
+  http_connection Connection(Port);
+  return keyedCall(Connection, Path, Key, Id, Body);
 }
 
 } // namespace peridot::test
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -62,6 +62,9 @@
 };
 
 /// One request with a key; the answer's outcome is told from its status.
+http_answer keyedCall(http_connection &Connection, const std::string &Path,
+                      const std::string &Key, const std::string &Id,
+                      const std::string &Body = "");
 http_answer keyedCall(std::uint16_t Port, const std::string &Path,
                       const std::string &Key, const std::string &Id,
                       const std::string &Body = "");
