Look for an absent store by rank: readers often, the others seldom

Cause: while the store was away every VM looked for it each 400 ms, and read to confirm the keys each 250 ms; refused calls are paid for.

Readers look each 400 ms, the others each 600 ms to 3 s by rank, VMs that the store turns away while it answers a reader each second; word that it answers a reader again makes them look at once. Nobody confirms keys meanwhile, the follower's look does.

--- a/src/coordination/registry/collection_sync.h
+++ b/src/coordination/registry/collection_sync.h
@@ -28,7 +28,7 @@
   /// Changes that come within this time of each other are read together.
   duration Gathering = std::chrono::milliseconds(300);
   duration FirstRetry = std::chrono::milliseconds(100);
-  duration LongestRetry = std::chrono::milliseconds(400);
+  duration LongestRetry = std::chrono::milliseconds(400); ///< At first.
 };
 
 /// Changes that another VM has read from the store: all between two positions.
@@ -69,6 +69,7 @@
   /// \returns up to where the copy is complete; 0: nowhere.
   std::uint64_t position() const { return Position.value_or(0); }
   void historyGone();
+  void setLongestRetry(duration Longest) { Options.LongestRetry = Longest; }
   /// A call failed; the next one waits longer each time.
   void failed();
   /// \returns calls that have failed in a row.
--- a/src/coordination/registry/internal/reader_election.cpp
+++ b/src/coordination/registry/internal/reader_election.cpp
@@ -48,6 +48,19 @@
   return Found;
 }
 
+duration reader_election::lookPeriod(instant Now) const {
+  if (!readers(Now).empty())
+    return Options.LookWhileOthersRead;
+  const auto Own = std::ranges::find(Order, Self);
+  const auto Place =
+      Own == Order.end() ? 0 : static_cast<std::size_t>(Own - Order.begin());
+  if (Place < Options.Readers)
+    return Options.Look;
+  const auto After = static_cast<duration::rep>(Place - Options.Readers + 1);
+  return std::min(Options.LongestLook,
+                  Options.Look + Options.LookStagger * After);
+}
+
 bool reader_election::storeAwayForReaders(instant Now) const {
   return readers(Now).empty() &&
          std::ranges::any_of(Heard, [&](const auto &Entry) {
--- a/src/coordination/registry/reader_election.h
+++ b/src/coordination/registry/reader_election.h
@@ -23,6 +23,13 @@
   /// Each VM waits this much longer than the one before it to replace a reader
   /// that was lost while another one is there.
   duration Stagger = std::chrono::milliseconds(300);
+  /// Time between two looks of a reader whether the store answers it again, and
+  /// how much longer each VM after the readers waits than the one before it.
+  duration Look = std::chrono::milliseconds(400);
+  duration LookStagger = std::chrono::milliseconds(200);
+  duration LongestLook = std::chrono::seconds(3);
+  /// The same at a VM that the store turns away while it answers a reader.
+  duration LookWhileOthersRead = std::chrono::seconds(1);
 };
 
 /// Knows the VMs of one data centre and the reports of the readers.
@@ -42,6 +49,8 @@
   std::vector<vm_name> readers(instant Now) const;
   /// True if the readers that were heard last say that the store is away.
   bool storeAwayForReaders(instant Now) const;
+  /// Time between two looks of this VM whether the store answers it again.
+  duration lookPeriod(instant Now) const;
 
 private:
   struct heard_report {
--- a/src/coordination/registry/tests/reader_election_test.cpp
+++ b/src/coordination/registry/tests/reader_election_test.cpp
@@ -67,6 +67,27 @@
   CHECK(!Election.storeAwayForReaders(Now));
 }
 
+TEST_CASE_FIXTURE(reader_election_fixture,
+                  "lookPeriod_storeAwayForAll_longerByRank") {
+  hear("first", false);
+  const auto PeriodAt = [&](const char *Name) {
+    reader_election Other{vm_name(Name)};
+    Other.ranked(Order);
+    return Other.lookPeriod(Now);
+  };
+  CHECK(PeriodAt("first") == reader_options{}.Look);
+  CHECK(PeriodAt("second") == reader_options{}.Look);
+  CHECK(PeriodAt("third") > PeriodAt("second"));
+  CHECK(Election.lookPeriod(Now) > PeriodAt("third"));
+  CHECK(PeriodAt("not-listed") == reader_options{}.Look);
+}
+
+TEST_CASE_FIXTURE(reader_election_fixture,
+                  "lookPeriod_readerAnswered_longerThanAReaders") {
+  hear("first");
+  CHECK(Election.lookPeriod(Now) == reader_options{}.LookWhileOthersRead);
+}
+
 TEST_CASE_FIXTURE(reader_election_fixture, "heard_unknownVm_ignored") {
   hear("stranger");
   CHECK(Election.readers(Now).empty());
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -42,7 +42,8 @@
 store_follower::store_follower(node_services &Services, fleet_store &Store,
                                vms_callback OnVms, changes_callback OnChanges)
     : Services(Services), Store(Store), OnVms(std::move(OnVms)),
-      OnChanges(std::move(OnChanges)), TurnChange(Services.Loop) {
+      OnChanges(std::move(OnChanges)), TurnChange(Services.Loop),
+      LookDelay(Services.Loop) {
   TurnChange.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -93,8 +94,9 @@
     co_await awaitTurn(Collection);
     const sync_step Step = Progress.next();
     if (const auto *Pause = std::get_if<pause_step>(&Step)) {
-      Delay.expires_after(Pause->Delay);
-      co_await Delay.async_wait(UseTaskTuple);
+      asio::steady_timer &Timer = Reachable ? Delay : LookDelay;
+      Timer.expires_after(Pause->Delay);
+      co_await Timer.async_wait(UseTaskTuple);
       continue;
     }
     bool &InWatch = Watching[static_cast<std::size_t>(Collection)];
@@ -128,6 +130,13 @@
   }
 }
 
+void store_follower::setLookPeriod(duration Period) {
+  for (collection_sync &Each : Sync)
+    Each.setLongestRetry(Period);
+}
+
+void store_follower::lookNow() { LookDelay.cancel(); }
+
 void store_follower::storeAwayForOthers() {
   for (const fleet_collection Each :
        {fleet_collection::Configuration, fleet_collection::Targets})
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -38,6 +38,10 @@
   void take(const store_changes &Changes);
   /// Another VM has read this far.
   void othersReached(fleet_collection Collection, std::uint64_t Position);
+  /// Time between two looks for the store while it does not answer.
+  void setLookPeriod(duration Period);
+  /// The store answers others again: this VM looks at once.
+  void lookNow();
   /// Other VMs say that the store is away.
   void storeAwayForOthers();
   std::uint64_t position(fleet_collection Collection) const {
@@ -87,6 +91,7 @@
   std::array<collection_sync, 3> Sync;  ///< By fleet_collection.
   std::array<bool, 3> Watching{};       ///< A watch is under way.
   boost::asio::steady_timer TurnChange; ///< Cancelled when turns change.
+  boost::asio::steady_timer LookDelay;  ///< Before the next look for the store.
   target_registry Targets;
   bool Reads = true;
   bool Reachable = false;
--- a/src/transport/node/internal/store_relay.cpp
+++ b/src/transport/node/internal/store_relay.cpp
@@ -44,9 +44,11 @@
 
 void store_relay::tick(instant Now) {
   chooseRole(Now);
+  Follower.setLookPeriod(Election.lookPeriod(Now));
   if (!Reads)
     return;
-  if (Now - Follower.confirmedAt() >= RefreshPeriod)
+  // While the store is away the follower looks for it.
+  if (Follower.storeAnswers() && Now - Follower.confirmedAt() >= RefreshPeriod)
     readConfirmation();
   if (TicksToReport == 0 || storeAnswers(Now) != ReportedAnswers)
     report(Now);
@@ -120,7 +122,10 @@
 
 void store_relay::on(const vm_name &Sender, const reader_report &Report) {
   const instant Now = Services.Timers.now();
+  const bool WereReaders = !Election.readers(Now).empty();
   Election.heard(Sender, Report, Now);
+  if (!WereReaders && Report.StoreAnswers && !Follower.storeAnswers())
+    Follower.lookNow();
   if (Report.StoreAnswers) {
     Follower.othersReached(fleet_collection::Configuration,
                            Report.ConfigurationPosition);
--- a/tests/integration/store_plane_test.cpp
+++ b/tests/integration/store_plane_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "support/store_fleet.h"
@@ -65,6 +67,26 @@
   CHECK(call(0, "/elsewhere/") == 404);
 }
 
+TEST_CASE_FIXTURE(store_plane_fixture, "nodes_storeAway_onlyReadersLookOften") {
+  awaitReaders();
+  faults("down=1");
+  for (const auto &Each : Nodes)
+    Each->Node.Process->awaitLine("\"store-lost\"");
+  std::this_thread::sleep_for(1500ms);
+  const int Before = calls();
+  std::this_thread::sleep_for(2s);
+  // Two readers look each 400 ms, the others each 600 and 800 ms.
+  CHECK(calls() - Before <= 5 + 5 + 4 + 3 + 4);
+  faults("down=0");
+  for (const auto &Each : Nodes)
+    awaitCondition("the store is back", [&] {
+      const auto Lines = Each->Node.Process->lines();
+      return std::ranges::count_if(Lines, [](const std::string &Line) {
+               return Line.find("\"store-regained\"") != Line.npos;
+             }) >= 2;
+    });
+}
+
 TEST_CASE_FIXTURE(store_plane_fixture, "node_stoodStill_saysForHowLong") {
   Nodes[0]->Node.Process->signal(SIGSTOP);
   std::this_thread::sleep_for(1s);
