--- a/src/coordination/steering/internal/target_steering.cpp
+++ b/src/coordination/steering/internal/target_steering.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double BytesPerKilobyte = 1'000;
+/// Of shares that should add up to a whole number of targets.
+constexpr double RoundingError = 1e-6;
 
 /// A number from 0 to 1 for each pair of bits and target.
 double spread(std::uint64_t Random, std::size_t Salt) {
@@ -125,8 +127,8 @@
 
 bool target_steering::belowFloor(std::span<const target> Candidates,
                                  const steering_moment &Moment) const {
-  const double MostIllness =
-      muchFails(Candidates, Moment) ? 1 : Floor.SoundBelow;
+  const bool MuchFails = muchFails(Candidates, Moment);
+  const double MostIllness = MuchFails ? 1 : Floor.SoundBelow;
   double Sound = 0;
   double Used = 0;
   for (const target &Each : Candidates) {
@@ -136,7 +138,9 @@
     Sound += 1;
     Used += usedLately(Each, Moment.Now) ? 1 : 0;
   }
-  return Used < Sound * std::min(1.0, Floor.Share + Floor.Margin);
+  const double Needed = Sound * std::min(1.0, Floor.Share + Floor.Margin);
+  // One of a few targets may rest; many requests find it again by themselves.
+  return Used < (MuchFails ? Needed : std::floor(Needed + RoundingError));
 }
 
 const target *target_steering::cheapest(std::span<const target> Candidates,
