Count whole limits in the deployment's window

Ruled out: homes that do not answer (the refusals said that the home had none left).

The home of a limit that is not divided counts what it gave in the window, and lets a part of the burst come back in each: at most the burst and a quarter of the tolerance. A new home begins with the rate alone.

--- a/src/coordination/hosting/account_buckets.h
+++ b/src/coordination/hosting/account_buckets.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/hosting/demand_shares.h"
+#include "coordination/hosting/sliding_count.h"
 #include "coordination/limits/types/rate_decision.h"
 
 namespace peridot {
@@ -34,11 +35,21 @@
     rate_limit Limit;
     double Tokens = 0;
     instant At{};
+    /// The limit counts in this window: the rate times the window and the
+    /// burst, of which so much may be used again in each. 0: a burst comes back
+    /// with the rate only.
+    duration Window{0};
+    double Again = 0;
+    /// A burst that another VM gave just before may count until then.
+    instant WholeFrom{};
+    sliding_count Taken;
 
     /// \param First requests that a new bucket holds.
     void configure(const rate_limit &Replacing, double First, instant Now);
+    void setWindow(duration Length, double Again, instant Now);
     bool take(instant Now);
     void refill(instant Now);
+    bool windowIsFull(instant Now);
   };
   /// Answers of the home that nobody has taken yet. Whoever waited for one
   /// has given up when it is still there two reconfigurations later.
--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -39,6 +39,9 @@
   /// Part of the tolerance that new buckets hold; others may just have used the
   /// rest.
   double ToleranceAtFirst = 0.1;
+  /// Part of the tolerance that bounds how much of a burst may be used in each
+  /// window. A new home does not know how much its predecessor gave.
+  double ToleranceAgain = 0.25;
   /// How long a larger part must be due before it is used. Longer than it takes
   /// all hosts to learn of a change of demand or of hosts.
   duration Settling = std::chrono::milliseconds(1'500);
@@ -55,6 +58,10 @@
   rate_limit Kept;
   /// Requests that a new bucket for that holds.
   double KeptAtFirst = 0;
+  /// If this VM keeps the whole limit: the window in which it counts, and how
+  /// many requests of its burst may be used anew in each; else 0.
+  duration KeptWindow{0};
+  double KeptAgain = 0;
   rate_limit Whole; ///< The account's limit over all VMs.
   vm_name Home;     ///< Empty while no VM is known to be a steady host.
 };
--- a/src/coordination/hosting/internal/account_buckets.cpp
+++ b/src/coordination/hosting/internal/account_buckets.cpp
@@ -10,15 +10,38 @@
 /// Least rate from which the time to the next request is worked out.
 constexpr double LeastRate = 0.01;
 
+double seconds(duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
 } // namespace
 
 void account_buckets::token_bucket::refill(instant Now) {
-  const double Elapsed = std::chrono::duration<double>(Now - At).count();
-  Tokens = std::min(Limit.Burst,
-                    Tokens + std::max(0.0, Elapsed) * Limit.RequestsPerSecond);
+  double Rate = Limit.RequestsPerSecond;
+  if (Window > duration{0} && Now >= WholeFrom)
+    Rate += Again / seconds(Window);
+  const double Elapsed = std::max(0.0, seconds(Now - At));
+  Tokens = std::min(Limit.Burst, Tokens + Elapsed * Rate);
   At = std::max(At, Now);
 }
 
+void account_buckets::token_bucket::setWindow(duration Length, double More,
+                                              instant Now) {
+  refill(Now);
+  Again = More;
+  if (Length == Window)
+    return;
+  Window = Length;
+  WholeFrom = Now + Length;
+  Taken.setWindow(Length);
+}
+
+bool account_buckets::token_bucket::windowIsFull(instant Now) {
+  return Window > duration{0} &&
+         Taken.within(Now) + 1 >
+             Limit.RequestsPerSecond * seconds(Window) + Limit.Burst;
+}
+
 void account_buckets::token_bucket::configure(const rate_limit &Replacing,
                                               double First, instant Now) {
   refill(Now);
@@ -30,9 +53,10 @@
 
 bool account_buckets::token_bucket::take(instant Now) {
   refill(Now);
-  if (Tokens < 1)
+  if (Tokens < 1 || windowIsFull(Now))
     return false;
   Tokens -= 1;
+  Taken.note(Now);
   return true;
 }
 
@@ -62,6 +86,7 @@
     Bucket.Home = Part.Home;
     Bucket.Own.configure(Part.Limit, Part.AtFirst, Now);
     Bucket.Kept.configure(Part.Kept, Part.KeptAtFirst, Now);
+    Bucket.Kept.setWindow(Part.KeptWindow, Part.KeptAgain, Now);
     Bucket.IsLimited = true;
   }
 }
--- a/src/coordination/hosting/internal/demand_shares.cpp
+++ b/src/coordination/hosting/internal/demand_shares.cpp
@@ -197,6 +197,12 @@
     if (Each.Home == Self) {
       Each.Kept = partOf(Account.Limit, HomePart);
       Each.KeptAtFirst = AtFirst * HomePart;
+      if (!Divided) {
+        Each.KeptWindow = Options.Tolerance.Window;
+        Each.KeptAgain =
+            std::min(Account.Limit.Burst,
+                     Options.ToleranceAgain * toleranceOf(Account.Limit));
+      }
     }
     Parts.push_back(std::move(Each));
   }
--- /dev/null
+++ b/src/coordination/hosting/tests/sliding_count_test.cpp
@@ -0,0 +1,119 @@
+#include "coordination/hosting/sliding_count.h"
+
+#include <array>
+
+#include <doctest/doctest.h>
+
+#include "coordination/hosting/account_buckets.h"
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+const account_name Keepers("keepers");
+
+/// The home of an account with 10 requests a second and a burst of 20, that
+/// counts in windows of 5 s.
+struct whole_limit_fixture {
+  static constexpr duration Window = 5s;
+  static constexpr double Again = 10;
+  static constexpr double PerWindow = 10 * 5 + 20;
+
+  whole_limit_fixture() {
+    Home.configure(std::vector<account_part>{{.Account = Keepers,
+                                              .Kept = {10, 20},
+                                              .KeptAtFirst = 2,
+                                              .KeptWindow = Window,
+                                              .KeptAgain = Again}},
+                   Now);
+  }
+
+  /// Takes all that is given, each 50 ms, for \p Length.
+  unsigned takeAll(duration Length) {
+    unsigned Taken = 0;
+    for (const instant End = Now + Length; Now < End; Now += 50ms)
+      Taken += Home.giveAway(Keepers, 100, Now);
+    return Taken;
+  }
+
+  instant Now{1h};
+  account_buckets Home;
+};
+
+} // namespace
+
+TEST_CASE("slidingCount_windowPasses_forgets") {
+  sliding_count Count;
+  Count.setWindow(5s);
+  instant Now{1h};
+  for (int Each = 0; Each < 10; ++Each) {
+    Count.note(Now);
+    Now += 100ms;
+  }
+  CHECK(Count.within(Now) == 10);
+  CHECK(Count.within(Now + 3900ms) == 10);
+  CHECK(Count.within(Now + 5300ms) == 0);
+}
+
+TEST_CASE_FIXTURE(whole_limit_fixture,
+                  "home_steadyDemand_partOfTheBurstInEachWindow") {
+  takeAll(2 * Window);
+  const unsigned Taken = takeAll(4 * Window);
+  CHECK(Taken >= 4 * (10 * 5 + Again) - 1);
+  CHECK(Taken <= 4 * (10 * 5 + Again) + 1);
+}
+
+TEST_CASE_FIXTURE(whole_limit_fixture,
+                  "home_burstAfterSilence_noWindowAboveTheLimit") {
+  Now += 2 * Window;
+  std::vector<unsigned> PerStep;
+  for (int Step = 0; Step < 400; ++Step) {
+    PerStep.push_back(Home.giveAway(Keepers, 100, Now));
+    Now += 50ms;
+  }
+  for (std::size_t First = 0; First + 100 <= PerStep.size(); ++First) {
+    unsigned Taken = 0;
+    for (std::size_t Step = First; Step < First + 100; ++Step)
+      Taken += PerStep[Step];
+    CHECK(Taken <= PerWindow);
+  }
+}
+
+TEST_CASE_FIXTURE(whole_limit_fixture, "home_new_onlyTheRateInTheFirstWindow") {
+  CHECK(takeAll(Window) <= 2 + 10 * 5 + 1);
+}
+
+TEST_CASE("home_killedInAFlood_successorStaysInTheTolerance") {
+  const rate_tolerance Tolerance{.Window = 5s, .Share = 0.1, .Requests = 20};
+  const std::array Accounts{client_account{
+      .Name = Keepers, .Limit = {.RequestsPerSecond = 210, .Burst = 210}}};
+  // So many hosts that the limit is not divided.
+  std::vector<vm_name> Hosts;
+  for (int Host = 0; Host < 80; ++Host)
+    Hosts.emplace_back("vm-" + std::to_string(Host));
+  const std::array Homes{Hosts.front()};
+  instant Now{1h};
+  const auto Started = [&](account_buckets &Home) {
+    Home.configure(demand_shares({.Tolerance = Tolerance})
+                       .parts(Accounts, {.Hosts = Hosts, .Homes = Homes},
+                              Hosts.front(), Now),
+                   Now);
+  };
+  const auto TakeFor = [&](account_buckets &Home, duration Length) {
+    unsigned Taken = 0;
+    for (const instant End = Now + Length; Now < End; Now += 10ms)
+      Taken += Home.giveAway(Keepers, 1000, Now);
+    return Taken;
+  };
+  for (const duration Lived : {500ms, 2000ms, 4000ms, 4800ms}) {
+    account_buckets Killed;
+    account_buckets Successor;
+    Started(Killed);
+    Now += 20s;
+    unsigned Taken = TakeFor(Killed, Lived);
+    Started(Successor);
+    Taken += TakeFor(Successor, 5s - Lived);
+    CHECK(Taken <= (210 * 5 + 210) * 1.1 + 20);
+  }
+}
