Log each target that drains, is removed, or stays in use without an entry

Callers' requests reached targets that had left, and the logs could not tell why: targets-changed gives counts only, so a target that the VM had not heard of looked the same as one that it knew to be without an entry and kept. The new line target-entry names the target, the transition (draining, removed, kept-without-entry, renewed, expired), whether this VM reaches the store, and the position of its copy.

--- a/src/coordination/registry/internal/target_registry.cpp
+++ b/src/coordination/registry/internal/target_registry.cpp
@@ -4,6 +4,22 @@
 
 namespace peridot {
 
+std::string_view nameOf(target_transition Transition) {
+  switch (Transition) {
+  case target_transition::Draining:
+    return "draining";
+  case target_transition::Removed:
+    return "removed";
+  case target_transition::Kept:
+    return "kept-without-entry";
+  case target_transition::Renewed:
+    return "renewed";
+  case target_transition::Expired:
+    return "expired";
+  }
+  return "unknown";
+}
+
 bool target_registry::handle(const registry_event &Event, instant Now) {
   return std::visit([&](const auto &Each) { return accept(Each, Now); }, Event);
 }
@@ -19,10 +35,13 @@
     return false;
   const bool IsDraining = Found->second.Target.Phase == target_phase::Draining;
   if (mayBeRenewed(Now) && !IsDraining) {
-    if (!Found->second.MissingSince)
+    if (!Found->second.MissingSince) {
       Found->second.MissingSince = Now;
+      Decisions.push_back({Name, target_transition::Kept});
+    }
     return false;
   }
+  Decisions.push_back({Name, target_transition::Removed});
   Entries.erase(Found);
   return true;
 }
@@ -49,10 +68,20 @@
   if (IsNew)
     return true;
   const bool Changed = Found->second.Target != Event.Target;
+  recordUpdate(Found->second, Event.Target);
   Found->second = {Event.Target, std::nullopt};
   return Changed;
 }
 
+void target_registry::recordUpdate(const entry &Previous,
+                                   const registered_target &Updated) {
+  if (Updated.Phase == target_phase::Draining &&
+      Previous.Target.Phase != target_phase::Draining)
+    Decisions.push_back({Updated.Target.Name, target_transition::Draining});
+  else if (Previous.MissingSince)
+    Decisions.push_back({Updated.Target.Name, target_transition::Renewed});
+}
+
 bool target_registry::accept(const target_removed &Event, instant Now) {
   return remove(Event.Target, Now);
 }
@@ -71,8 +100,11 @@
 bool target_registry::expire(instant Now) {
   if (mayBeRenewed(Now))
     return false;
-  return std::erase_if(Entries, [](const auto &Each) {
-           return Each.second.MissingSince.has_value();
+  return std::erase_if(Entries, [this](const auto &Each) {
+           if (!Each.second.MissingSince)
+             return false;
+           Decisions.push_back({Each.first, target_transition::Expired});
+           return true;
          }) > 0;
 }
 
--- a/src/coordination/registry/target_registry.h
+++ b/src/coordination/registry/target_registry.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -39,6 +41,23 @@
 using registry_event = std::variant<targets_listed, target_changed,
                                     target_removed, store_lost, store_regained>;
 
+/// What happened to a target's entry and what the registry did about it.
+enum class target_transition {
+  Draining, ///< It drains and gets no new requests.
+  Removed,  ///< It has no entry and gets no new requests.
+  Kept,     ///< It has no entry but stays in use, as it may be renewed.
+  Renewed,  ///< It was kept without an entry and has one again.
+  Expired,  ///< It was kept without an entry for too long.
+};
+
+std::string_view nameOf(target_transition Transition);
+
+/// One transition of one target, for the log.
+struct target_decision {
+  target_name Target;
+  target_transition Transition = target_transition::Removed;
+};
+
 struct registry_options {
   /// Grace period, from when this VM reaches the store again, in which a live
   /// target renews an entry that expired during the outage. The store itself
@@ -59,6 +78,11 @@
   /// \returns whether there were any.
   bool expire(instant Now);
 
+  /// Returns the transitions since the previous call.
+  std::vector<target_decision> takeDecisions() {
+    return std::exchange(Decisions, {});
+  }
+
   /// Returns the targets that take new requests, by service.
   target_table table() const;
   std::size_t size() const { return Entries.size(); }
@@ -76,9 +100,11 @@
   bool accept(const store_regained &Event, instant Now);
   bool mayBeRenewed(instant Now) const;
   bool remove(const target_name &Name, instant Now);
+  void recordUpdate(const entry &Previous, const registered_target &Updated);
 
   registry_options Options;
   std::map<target_name, entry> Entries;
+  std::vector<target_decision> Decisions;
   bool IsStoreUnreachable = false;
   std::optional<instant> RegainedAt;
 };
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -56,8 +56,10 @@
         fleet_collection::Vms})
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
   ExpiryTimer = Services.Timers.every(ExpiryPeriod, [this](instant Now) {
-    if (Targets.expire(Now))
-      publishTargets();
+    if (!Targets.expire(Now))
+      return;
+    logTargetDecisions();
+    publishTargets();
   });
   CompareTimer = Services.Timers.every(ComparePeriod,
                                        [this](instant) { compareWithPeers(); });
@@ -343,10 +345,21 @@
   }
   if (IsList)
     Changed = Targets.handle(std::move(Listed), Now);
+  logTargetDecisions();
   if (Changed || !Services.Snapshots.current().RegisteredTargets)
     publishTargets();
 }
 
+void store_follower::logTargetDecisions() {
+  for (const target_decision &Each : Targets.takeDecisions())
+    logEvent(log_level::Info, "target-entry",
+             {{"target", Each.Target.view()},
+              {"transition", nameOf(Each.Transition)},
+              {"store_reachable", IsReachable},
+              {"position", static_cast<std::int64_t>(
+                               position(fleet_collection::Targets))}});
+}
+
 void store_follower::publishTargets() {
   const auto Table = std::make_shared<const target_table>(Targets.table());
   Services.Snapshots.update(
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -79,6 +79,8 @@
   void updateReachability(bool Succeeded);
   void reportUnreadable(const store_item &Item,
                         const unreadable_content &Content);
+  /// Logs what the registry decided since the last call.
+  void logTargetDecisions();
   void publishTargets();
 
   node_services &Services;
