Keep targets without an entry only while the store itself is away

Callers saw: requests reached targets that had left 2.4 to 2.9 s before (bound 2 s, 2.5 s on the grown sites).

Cause: a target may leave by removing its entry. The registry keeps a target without an entry while the store is unreachable and 1.8 s longer, because it may only have missed a renewal. It took 'unreachable' from this VM's own connection: a VM cut off from the store kept the target although a watcher had relayed the removal, and a VM that came back, or whose watchers were cut, counted its own outage as one of the store. A cut that ends at T, a reconnect at T+1.7 s and the grace period add up to T+3.5 s, beyond the settle time of 3 s after which the bound holds again.

The outage is now judged by what all known VMs see: store_availability joins own responses and the watchers' reports, which say for how long the store has responded. An entry that goes missing while any VM reaches the store is a target that left; a VM that comes back learns from the first report that the store was never away. A silence of up to 2 s is no outage, as entries last for three heartbeats. Senders of the old version report no duration; their reports count from their first one.

--- a/src/coordination/registry/internal/target_registry.cpp
+++ b/src/coordination/registry/internal/target_registry.cpp
@@ -25,8 +25,7 @@
 }
 
 bool target_registry::mayBeRenewed(instant Now) const {
-  return IsStoreUnreachable ||
-         (RegainedAt && Now - *RegainedAt < Options.RenewalGracePeriod);
+  return !AvailableSince || Now - *AvailableSince < Options.RenewalGracePeriod;
 }
 
 bool target_registry::remove(const target_name &Name, instant Now) {
@@ -86,14 +85,14 @@
   return remove(Event.Target, Now);
 }
 
-bool target_registry::accept(const store_lost & /*Event*/, instant /*Now*/) {
-  IsStoreUnreachable = true;
+bool target_registry::accept(const store_unavailable & /*Event*/,
+                             instant /*Now*/) {
+  AvailableSince.reset();
   return false;
 }
 
-bool target_registry::accept(const store_regained & /*Event*/, instant Now) {
-  IsStoreUnreachable = false;
-  RegainedAt = Now;
+bool target_registry::accept(const store_available &Event, instant /*Now*/) {
+  AvailableSince = Event.Since;
   return false;
 }
 
--- a/src/coordination/registry/target_registry.h
+++ b/src/coordination/registry/target_registry.h
@@ -32,14 +32,17 @@
   target_name Target;
 };
 
-/// The store became unavailable.
-struct store_lost {};
+/// No VM that this one knows of reaches the store.
+struct store_unavailable {};
 
-/// The store is available again.
-struct store_regained {};
+/// At least one VM has reached the store without interruption.
+struct store_available {
+  instant Since{};
+};
 
-using registry_event = std::variant<targets_listed, target_changed,
-                                    target_removed, store_lost, store_regained>;
+using registry_event =
+    std::variant<targets_listed, target_changed, target_removed,
+                 store_unavailable, store_available>;
 
 /// What happened to a target's entry and what the registry did about it.
 enum class target_transition {
@@ -59,15 +62,17 @@
 };
 
 struct registry_options {
-  /// Grace period, from when this VM reaches the store again, in which a live
-  /// target renews an entry that expired during the outage. The store itself
-  /// may have returned slightly earlier.
+  /// Grace period, from when the first VM reaches the store again, in which a
+  /// live target renews an entry that expired during the outage. The store
+  /// itself may have returned slightly earlier.
   duration RenewalGracePeriod = std::chrono::milliseconds(1'800);
 };
 
 /// Keeps a target in use that loses its entry during an outage of the store or
 /// up to RenewalGracePeriod afterwards, because it may have been unable to
-/// renew it. Draining targets are removed at once.
+/// renew it. Draining targets are removed at once. A VM that cannot reach the
+/// store while others do is no sign of an outage: an entry that is removed then
+/// belongs to a target that has left.
 class target_registry {
 public:
   explicit target_registry(registry_options Options = {}) : Options(Options) {}
@@ -96,8 +101,8 @@
   bool accept(const targets_listed &Event, instant Now);
   bool accept(const target_changed &Event, instant Now);
   bool accept(const target_removed &Event, instant Now);
-  bool accept(const store_lost &Event, instant Now);
-  bool accept(const store_regained &Event, instant Now);
+  bool accept(const store_unavailable &Event, instant Now);
+  bool accept(const store_available &Event, instant Now);
   bool mayBeRenewed(instant Now) const;
   bool remove(const target_name &Name, instant Now);
   void recordUpdate(const entry &Previous, const registered_target &Updated);
@@ -105,8 +110,8 @@
   registry_options Options;
   std::map<target_name, entry> Entries;
   std::vector<target_decision> Decisions;
-  bool IsStoreUnreachable = false;
-  std::optional<instant> RegainedAt;
+  /// Since when the store has been available; empty: it is unavailable.
+  std::optional<instant> AvailableSince;
 };
 
 } // namespace peridot
--- a/src/coordination/registry/tests/target_registry_test.cpp
+++ b/src/coordination/registry/tests/target_registry_test.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 struct target_registry_fixture {
+  target_registry_fixture() {
+    Registry.handle(store_available{.Since = instant{}}, Now);
+  }
+
   static registered_target make(const char *Name,
                                 target_phase Phase = target_phase::Ready) {
     return {.Target = {.Name = target_name(Name)},
@@ -45,9 +49,9 @@
 TEST_CASE_FIXTURE(target_registry_fixture,
                   "handle_missingAfterOutage_keptForGracePeriod") {
   Registry.handle(targets_listed{{make("a"), make("b")}}, Now);
-  Registry.handle(store_lost{}, Now);
+  Registry.handle(store_unavailable{}, Now);
   advance(std::chrono::seconds(30));
-  Registry.handle(store_regained{}, Now);
+  Registry.handle(store_available{.Since = Now}, Now);
   Registry.handle(targets_listed{{make("a")}}, Now);
   CHECK(inUse() == 2);
   advance(std::chrono::milliseconds(1'700));
@@ -60,8 +64,8 @@
 TEST_CASE_FIXTURE(target_registry_fixture,
                   "handle_renewedAfterOutage_staysInUse") {
   Registry.handle(targets_listed{{make("a")}}, Now);
-  Registry.handle(store_lost{}, Now);
-  Registry.handle(store_regained{}, Now);
+  Registry.handle(store_unavailable{}, Now);
+  Registry.handle(store_available{.Since = Now}, Now);
   Registry.handle(targets_listed{{}}, Now);
   Registry.handle(target_changed{make("a")}, Now);
   advance(std::chrono::seconds(10));
@@ -72,7 +76,22 @@
 TEST_CASE_FIXTURE(target_registry_fixture,
                   "handle_drainingMissingAfterOutage_removedAtOnce") {
   Registry.handle(targets_listed{{make("a", target_phase::Draining)}}, Now);
-  Registry.handle(store_regained{}, Now);
+  Registry.handle(store_available{.Since = Now}, Now);
   Registry.handle(target_removed{target_name("a")}, Now);
   CHECK(Registry.size() == 0);
 }
+
+// Guards against a target that has left staying in use because this VM took its
+// own lost connection for an outage of the store.
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_keptButStoreWasAvailableAllAlong_expiresAtOnce") {
+  Registry.handle(targets_listed{{make("a"), make("b")}}, Now);
+  Registry.handle(store_unavailable{}, Now);
+  Registry.handle(targets_listed{{make("a")}}, Now);
+  Registry.handle(store_available{.Since = Now}, Now);
+  CHECK(!Registry.expire(Now));
+  Registry.handle(store_available{.Since = Now - std::chrono::seconds(30)},
+                  Now);
+  CHECK(Registry.expire(Now));
+  CHECK(inUse() == 1);
+}
--- a/src/coordination/registry/types/store_messages.h
+++ b/src/coordination/registry/types/store_messages.h
@@ -2,6 +2,7 @@
 /// Messages between the VMs of a data centre about the platform's store.
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <variant>
 
@@ -21,6 +22,8 @@
 /// Sent periodically by a watcher.
 struct watcher_report {
   bool StoreResponds = false;
+  /// For how long the store has responded without interruption.
+  std::chrono::milliseconds RespondingFor{0};
   /// Positions up to which the watcher has read the collections.
   std::uint64_t ConfigurationPosition = 0;
   std::uint64_t TargetsPosition = 0;
--- a/src/protocol/store_messages/internal/store_codec.cpp
+++ b/src/protocol/store_messages/internal/store_codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/store_messages/store_codec.h"
 
+#include <algorithm>
+
 #include <store_messages_generated.h>
 
 namespace peridot {
@@ -20,9 +22,10 @@
 
 encoded_body encode(FlatBufferBuilder &Builder, const watcher_report &Report) {
   return {wire::StoreBody_ReaderReport,
-          wire::CreateReaderReport(Builder, Report.StoreResponds,
-                                   Report.ConfigurationPosition,
-                                   Report.TargetsPosition)
+          wire::CreateReaderReport(
+              Builder, Report.StoreResponds, Report.ConfigurationPosition,
+              Report.TargetsPosition,
+              static_cast<std::uint64_t>(Report.RespondingFor.count()))
               .Union()};
 }
 
@@ -54,6 +57,13 @@
       .Document = Wire.document()->str()};
 }
 
+/// Bounded, because a peer's number could otherwise overflow a time.
+std::chrono::milliseconds respondingTimeOf(const wire::ReaderReport &Wire) {
+  constexpr std::chrono::milliseconds MaxRespondingTime = std::chrono::hours(1);
+  return std::chrono::milliseconds(
+      std::min<std::uint64_t>(Wire.answering_ms(), MaxRespondingTime.count()));
+}
+
 } // namespace
 
 std::vector<std::byte> encodeStoreMessage(const store_message &Message) {
@@ -76,6 +86,7 @@
         return *std::move(Decoded);
     if (const auto *Report = Wire.body_as_ReaderReport())
       return watcher_report{.StoreResponds = Report->store_answers(),
+                            .RespondingFor = respondingTimeOf(*Report),
                             .ConfigurationPosition =
                                 Report->configuration_position(),
                             .TargetsPosition = Report->targets_position()};
--- a/src/protocol/store_messages/tests/store_codec_test.cpp
+++ b/src/protocol/store_messages/tests/store_codec_test.cpp
@@ -29,9 +29,13 @@
 }
 
 TEST_CASE("storeCodec_watcherReport_roundTrips") {
-  const auto Decoded = roundTrip(watcher_report{
-      .StoreResponds = true, .ConfigurationPosition = 4, .TargetsPosition = 5});
+  const auto Decoded = roundTrip(
+      watcher_report{.StoreResponds = true,
+                     .RespondingFor = std::chrono::milliseconds(1'500),
+                     .ConfigurationPosition = 4,
+                     .TargetsPosition = 5});
   CHECK(Decoded.StoreResponds);
+  CHECK(Decoded.RespondingFor == std::chrono::milliseconds(1'500));
   CHECK(Decoded.ConfigurationPosition == 4);
   CHECK(Decoded.TargetsPosition == 5);
 }
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -55,12 +55,8 @@
        {fleet_collection::Configuration, fleet_collection::Targets,
         fleet_collection::Vms})
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
-  ExpiryTimer = Services.Timers.every(ExpiryPeriod, [this](instant Now) {
-    if (!Targets.expire(Now))
-      return;
-    logTargetDecisions();
-    publishTargets();
-  });
+  ExpiryTimer = Services.Timers.every(
+      ExpiryPeriod, [this](instant Now) { expireTargets(Now); });
   CompareTimer = Services.Timers.every(ComparePeriod,
                                        [this](instant) { compareWithPeers(); });
 }
@@ -151,6 +147,29 @@
   updateReachability(false);
 }
 
+void store_follower::setStoreAvailableSince(std::optional<instant> Since,
+                                            instant Now) {
+  Targets.handle(Since ? registry_event(store_available{*Since})
+                       : registry_event(store_unavailable{}),
+                 Now);
+  if (Since.has_value() != IsStoreAvailable) {
+    IsStoreAvailable = Since.has_value();
+    logEvent(log_level::Info, "store-availability",
+             {{"available", IsStoreAvailable},
+              {"reachable_from_here", IsReachable},
+              {"rule", "targets without an entry stay in use while no VM "
+                       "reaches the store and for a grace period after"}});
+  }
+  expireTargets(Now);
+}
+
+void store_follower::expireTargets(instant Now) {
+  if (!Targets.expire(Now))
+    return;
+  logTargetDecisions();
+  publishTargets();
+}
+
 task<void> store_follower::catchUp(fleet_collection Collection) {
   co_await execute(Collection, list_step{});
 }
@@ -263,10 +282,6 @@
     return;
   IsReachable = Succeeded;
   WakeTimer.cancel();
-  const instant Now = Services.Timers.now();
-  Targets.handle(Succeeded ? registry_event(store_regained{})
-                           : registry_event(store_lost{}),
-                 Now);
   Services.Decisions.record(
       {.Kind =
            Succeeded ? decision_kind::StoreRegained : decision_kind::StoreLost,
@@ -274,9 +289,8 @@
        .Name = Services.Self.Vm.str(),
        .Cause = Succeeded ? "a call to the store succeeded"
                           : "calls to the store failed",
-       .Rule = "targets without an entry stay in use while the store is "
-               "unreachable and for a grace period after it is reachable "
-               "again"});
+       .Rule = "while the store is unreachable, only the configuration is "
+               "retried"});
 }
 
 void store_follower::apply(fleet_collection Collection,
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -42,6 +42,9 @@
   void setMaxRetryDelay(duration Delay);
   /// Retries at once, because the store is reachable for other VMs again.
   void retryNow();
+  /// Sets since when the store has been available to at least one known VM;
+  /// empty: it is available to none.
+  void setStoreAvailableSince(std::optional<instant> Since, instant Now);
   /// Treats the store as unreachable, because other VMs reported it as such.
   void setStoreUnreachable();
   std::uint64_t position(fleet_collection Collection) const {
@@ -77,6 +80,7 @@
   void applyConfiguration(const store_items &Items);
   void applyTargets(const store_items &Items, bool IsList);
   void updateReachability(bool Succeeded);
+  void expireTargets(instant Now);
   void reportUnreadable(const store_item &Item,
                         const unreadable_content &Content);
   /// Logs what the registry decided since the last call.
@@ -103,6 +107,7 @@
   target_registry Targets;
   bool IsWatcher = true;
   bool IsReachable = false;
+  bool IsStoreAvailable = false; ///< To at least one known VM.
   instant KeysConfirmedAt{};
   /// Callbacks that wait for the same read.
   std::vector<confirmation_callback> PendingConfirmations;
--- a/src/transport/node/internal/store_relay.cpp
+++ b/src/transport/node/internal/store_relay.cpp
@@ -48,6 +48,7 @@
 
 void store_relay::tick(instant Now) {
   updateRole(Now);
+  updateAvailability(Now);
   Follower.setMaxRetryDelay(Election.storeCheckPeriod(Now));
   if (!IsWatcher)
     return;
@@ -65,6 +66,14 @@
          Now - Follower.keysConfirmedAt() < MaxResponseAge;
 }
 
+void store_relay::updateAvailability(instant Now) {
+  if (Follower.keysConfirmedAt() > LastConfirmedAt) {
+    LastConfirmedAt = Follower.keysConfirmedAt();
+    Availability.recordResponse(LastConfirmedAt);
+  }
+  Follower.setStoreAvailableSince(Availability.availableSince(Now), Now);
+}
+
 void store_relay::updateRole(instant Now) {
   const bool WasWatcher = IsWatcher;
   IsWatcher = Election.shouldSelfWatch(Now);
@@ -79,8 +88,12 @@
 void store_relay::report(instant Now) {
   TicksToReport = TicksPerReport;
   ReportedReachable = hasRecentResponse(Now);
+  const duration RespondingFor =
+      Now - Availability.availableSince(Now).value_or(Now);
   sendToAll(watcher_report{
       .StoreResponds = ReportedReachable,
+      .RespondingFor =
+          std::chrono::duration_cast<std::chrono::milliseconds>(RespondingFor),
       .ConfigurationPosition =
           Follower.position(fleet_collection::Configuration),
       .TargetsPosition = Follower.position(fleet_collection::Targets)});
@@ -133,12 +146,14 @@
   if (!HadWatchers && Report.StoreResponds && !Follower.isStoreReachable())
     Follower.retryNow();
   if (Report.StoreResponds) {
+    Availability.recordReport(Report.RespondingFor, Now);
     Follower.recordPeerPosition(fleet_collection::Configuration,
                                 Report.ConfigurationPosition);
     Follower.recordPeerPosition(fleet_collection::Targets,
                                 Report.TargetsPosition);
   }
   updateRole(Now);
+  updateAvailability(Now);
 }
 
 void store_relay::on(const vm_name &Sender,
--- a/src/transport/node/internal/store_relay.h
+++ b/src/transport/node/internal/store_relay.h
@@ -5,6 +5,7 @@
 
 #include <span>
 
+#include "coordination/registry/store_availability.h"
 #include "coordination/registry/watcher_election.h"
 #include "transport/node/control_context.h"
 
@@ -37,6 +38,9 @@
   void tick(instant Now);
   /// Starts or stops watching the store.
   void updateRole(instant Now);
+  /// Tells the follower since when the store has been available to this VM or a
+  /// watcher.
+  void updateAvailability(instant Now);
   /// Whether the store is reachable and the last confirmation of the keys is
   /// younger than MaxResponseAge.
   bool hasRecentResponse(instant Now) const;
@@ -56,6 +60,9 @@
   node_services &Services;
   store_follower &Follower;
   watcher_election Election;
+  store_availability Availability;
+  /// Last confirmation of the keys that Availability knows.
+  instant LastConfirmedAt{};
   std::vector<vm_name> LocalPeers;
   bool IsWatcher = true;
   /// Whether the last report described the store as reachable.
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -58,6 +58,37 @@
     });
   }
 
+  /// Waits until a node has reached the store a second time since its start.
+  static void awaitRegainedTwice(const store_node &Each) {
+    awaitCondition("the store to be regained", [&] {
+      const auto Lines = Each.Node.Process->lines();
+      return std::ranges::count_if(Lines, [](const std::string &Line) {
+               return Line.find("\"store-regained\"") != Line.npos;
+             }) >= 2;
+    });
+  }
+
+  /// Cuts a node that does not watch the store off from it, and waits until the
+  /// node has noticed.
+  std::size_t cutOffFollower() {
+    std::size_t Follower = 0;
+    while (isWatcher(*Nodes[Follower]))
+      ++Follower;
+    Nodes[Follower]->Proxy->setFaults("backward_truncate_at=0");
+    Nodes[Follower]->Node.Process->awaitLine("\"store-lost\"");
+    return Follower;
+  }
+
+  /// Sends requests to a node; returns how many were served by targets other
+  /// than the first.
+  int countServedElsewhere(std::size_t Node, int Count) {
+    const std::string Before = Targets[0]->Target.executions();
+    int Served = 0;
+    for (int Each = 0; Each < Count; ++Each)
+      Served += call(Node) == 200 ? 1 : 0;
+    return Targets[0]->Target.executions() == Before ? Served : 0;
+  }
+
   int LastId = 0;
 };
 
@@ -82,12 +113,7 @@
   CHECK(platformCallCount() - Before <= 5 + 5 + 4 + 3 + 4);
   setPlatformFaults("down=0");
   for (const auto &Each : Nodes)
-    awaitCondition("the store to be regained", [&] {
-      const auto Lines = Each->Node.Process->lines();
-      return std::ranges::count_if(Lines, [](const std::string &Line) {
-               return Line.find("\"store-regained\"") != Line.npos;
-             }) >= 2;
-    });
+    awaitRegainedTwice(*Each);
 }
 
 TEST_CASE_FIXTURE(object_platform_fixture, "node_paused_pauseDurationLogged") {
@@ -194,3 +220,27 @@
       CHECK(call(Node) == 200);
   CHECK(Targets[0]->Target.executions() == Before);
 }
+
+// Guards against a VM that cannot reach the store and keeps using a target
+// whose removal a watcher has relayed to it.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "node_cutOffFromStore_removedTargetUnusedWithinTwoSeconds") {
+  awaitWatchers();
+  const std::size_t Follower = cutOffFollower();
+  removeTarget(*Targets[0]);
+  std::this_thread::sleep_for(2s);
+  CHECK(countServedElsewhere(Follower, 20) == 20);
+}
+
+// Guards against a VM that reaches the store again and takes its own outage for
+// one of the store, in which removed targets may only have missed a renewal.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "node_reachesStoreAgain_removedTargetNotKept") {
+  awaitWatchers();
+  const std::size_t Follower = cutOffFollower();
+  Nodes[Follower]->Proxy->setFaults("");
+  awaitRegainedTwice(*Nodes[Follower]);
+  removeTarget(*Targets[0]);
+  std::this_thread::sleep_for(1s);
+  CHECK(countServedElsewhere(Follower, 20) == 20);
+}
