Bound what a target's response may take in memory and time

Callers would have seen all requests of a VM fail: bytes from a target that never end filled its memory until the deadline, 150 to 220 MB in one second on this machine, and a VM here has 160 to 260 MB.

Cause: the head was limited to 64 KiB, but three reads were not. The parser asks for more until a chunk header with its extension, or a trailer, is complete, and the buffer grew with it. A response to an earlier request that is discarded was collected whole. Interim responses (1xx) were skipped without a limit, which takes little memory but all of the thread.

Framing may take 32 KiB, a discarded response 256 KiB, and there may be 8 interim responses; beyond, the target counts as broken. Bodies of callers are read by the same function and have the same bound.

--- a/src/transport/callers/internal/body_relay.h
+++ b/src/transport/callers/internal/body_relay.h
@@ -18,6 +18,9 @@
 /// Maximum number of body bytes in transit between caller and target.
 constexpr std::size_t RelayBufferBytes = 32U << 10U;
 
+/// Maximum number of bytes received without a complete chunk header or trailer.
+constexpr std::size_t MaxFramingBytes = 32U << 10U;
+
 using relay_buffer = std::array<char, RelayBufferBytes>;
 
 /// Why copying a body failed.
@@ -60,7 +63,8 @@
 }
 
 /// Reads the next bytes of a body into \p BodyBuffer, starting at \p Offset.
-/// Does not wait until the buffer is full.
+/// Does not wait until the buffer is full. Fails if the framing of the body
+/// takes more than MaxFramingBytes, as it would be collected in memory.
 /// \returns the number of bytes read; 0 without an error: end of the body.
 template <typename Parser>
 task<std::pair<boost::system::error_code, std::size_t>>
@@ -72,6 +76,7 @@
   const auto ReadBytes = [&] {
     return BodyBuffer.size() - Offset - Source.get().body().size;
   };
+  namespace http = boost::beast::http;
   boost::system::error_code Error;
   if (Buffer.size() > 0)
     Error = parseReceived(Buffer, Source);
@@ -84,6 +89,8 @@
       Source.put_eof(Error);
     else if (!ReadError)
       Error = parseReceived(Buffer, Source);
+    if (!Error && ReadBytes() == 0 && Buffer.size() > MaxFramingBytes)
+      Error = http::error::buffer_overflow;
   }
   co_return std::pair(Error, ReadBytes());
 }
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -20,6 +20,10 @@
 /// Maximum number of responses to earlier requests that are discarded before
 /// the connection counts as broken.
 constexpr int MaxMismatchedResponses = 3;
+/// Maximum body size of such a response.
+constexpr std::uint64_t MaxMismatchedBodyBytes = 256U << 10U;
+/// Maximum number of interim responses (1xx) before the response.
+constexpr int MaxInterimResponses = 8;
 /// Maximum time for a caller to receive a buffered response.
 constexpr std::chrono::seconds DeliveryTimeout{5};
 
@@ -30,8 +34,10 @@
     std::optional<target_response_parser> &Response, const service &Service,
     const attempt_result &Result) {
   const http_dialect &Dialect = Worker.dialect();
+  int InterimResponses = 0;
   for (int MismatchedResponses = 0;
-       MismatchedResponses <= MaxMismatchedResponses;) {
+       MismatchedResponses <= MaxMismatchedResponses &&
+       InterimResponses <= MaxInterimResponses;) {
     Response.emplace();
     Response->header_limit(MaxResponseHeadBytes);
     Response->body_limit(boost::none);
@@ -41,8 +47,10 @@
     if (Error)
       co_return Error;
     if (Response->get().result() == http::status::continue_ ||
-        Response->get().result() == http::status::processing)
+        Response->get().result() == http::status::processing) {
+      ++InterimResponses;
       continue;
+    }
     const auto Echo = Response->get()[toBeast(Dialect.AttemptField)];
     if (!Service.EchoesAttemptId || Echo == Result.AttemptId)
       co_return boost::system::error_code{};
@@ -51,8 +59,8 @@
     if (!Result.ReusedConnection || Echo.empty())
       break;
     buffered_response Dropped;
-    if (const auto DropError =
-            co_await bufferResponse(Connection, Buffer, *Response, Dropped))
+    if (const auto DropError = co_await bufferResponse(
+            Connection, Buffer, *Response, MaxMismatchedBodyBytes, Dropped))
       co_return DropError;
     ++MismatchedResponses;
   }
@@ -61,7 +69,8 @@
 
 task<boost::system::error_code> request_relay::bufferResponse(
     target_connection &Connection, beast::flat_buffer &Buffer,
-    target_response_parser &Response, buffered_response &Buffered) {
+    target_response_parser &Response, std::uint64_t MaxBodyBytes,
+    buffered_response &Buffered) {
   if (!BodyBuffer)
     BodyBuffer = std::make_unique_for_overwrite<relay_buffer>();
   while (!Response.is_done()) {
@@ -70,6 +79,8 @@
     Buffered.Body.append(BodyBuffer->data(), Size);
     if (Error && !Response.is_done())
       co_return Error;
+    if (Buffered.Body.size() > MaxBodyBytes)
+      co_return make_error_code(http::error::body_limit);
   }
   Buffered.Head = Response.get().base();
   co_return boost::system::error_code{};
@@ -110,8 +121,8 @@
     co_return Error;
   }
   buffered_response Buffered;
-  if (const auto Error =
-          co_await bufferResponse(Connection, Buffer, *Response, Buffered))
+  if (const auto Error = co_await bufferResponse(Connection, Buffer, *Response,
+                                                 *Length, Buffered))
     co_return Error;
   Reusable = TargetKeeps && Buffer.size() == 0;
   Result.Buffered = std::move(Buffered);
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -129,11 +129,13 @@
                    boost::beast::flat_buffer &Buffer,
                    std::optional<target_response_parser> &Response,
                    const service &Service, const attempt_result &Result);
-  /// Reads a complete response into memory.
+  /// Reads a complete response into memory; fails if its body is larger than
+  /// \p MaxBodyBytes.
   task<boost::system::error_code>
   bufferResponse(target_connection &Connection,
                  boost::beast::flat_buffer &Buffer,
-                 target_response_parser &Response, buffered_response &Buffered);
+                 target_response_parser &Response, std::uint64_t MaxBodyBytes,
+                 buffered_response &Buffered);
   /// Sends a buffered response to the caller. \returns false if that fails.
   task<bool> deliver(buffered_response Buffered);
   /// Streams a response whose head was read to the caller.
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstring>
+#include <fstream>
+
 #include <fcntl.h>
 #include <spawn.h>
 #include <stdexcept>
@@ -131,6 +133,14 @@
   return Lines;
 }
 
+std::size_t process::peakMemoryKilobytes() const {
+  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
+  for (std::string Word; Status >> Word;)
+    if (std::size_t Kilobytes = 0; Word == "VmHWM:" && Status >> Kilobytes)
+      return Kilobytes;
+  throw std::runtime_error("the peak memory of the process is unknown");
+}
+
 void process::signal(int Signal) const { kill(Pid, Signal); }
 
 int process::awaitExit() {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -31,6 +31,8 @@
   std::vector<std::string> lines() const;
 
   void signal(int Signal) const;
+  /// Largest resident memory of the running process so far.
+  std::size_t peakMemoryKilobytes() const;
   /// Waits for the exit and returns its code; negative: killed by that signal.
   int awaitExit();
 
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -45,9 +45,10 @@
   }
 }
 
-void scripted_connection::send(const std::string &Bytes) {
-  boost::system::error_code Ignored;
-  asio::write(Impl.Socket, asio::buffer(Bytes), Ignored);
+bool scripted_connection::send(const std::string &Bytes) {
+  boost::system::error_code Error;
+  asio::write(Impl.Socket, asio::buffer(Bytes), Error);
+  return !Error;
 }
 
 const std::string &scripted_connection::received() const {
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -18,7 +18,8 @@
   bool readUntil(const std::string &Text);
   /// Reads until the peer closes the connection.
   void readToEnd();
-  void send(const std::string &Bytes);
+  /// \returns false if the peer has closed the connection.
+  bool send(const std::string &Bytes);
   /// All bytes received so far.
   const std::string &received() const;
 
