Notice changes that no watch delivers, and tell VMs without requests

A draining target would be missed in the same way, by all VMs of a data centre, for up to the 10 s that a silent watch may wait.

Cause: while watches deliver nothing, only the watchers learn of a configuration, from the read that confirms the keys every 750 ms. They did not tell the others, which ask only when they have a request, and then wait 100 ms at most. Nothing was read that shows a change of the targets.

The read that confirms the keys also gives the position of the store's history. A watcher whose collections have all not reached it 250 to 500 ms later lists the targets. Reports carry the version in force, a list or a newer version is reported at once, and a VM that stays behind a reported version for a tick reads the configuration. Copies are compared every 250 ms instead of 500, so that both steps fit into 2 s.

--- a/src/coordination/registry/collection_sync.h
+++ b/src/coordination/registry/collection_sync.h
@@ -69,6 +69,8 @@
   /// Records that another VM has read up to \p Reached. The relayed changes may
   /// still be in transit.
   void recordPeerPosition(std::uint64_t Reached);
+  /// Records that the store has changes which no watch delivered.
+  void recordUndelivered() { HasGap |= Position.has_value(); }
   /// Checks that the changes which other VMs had read by the previous call have
   /// arrived by now. Must be called periodically.
   void compareWithPeers();
--- a/src/coordination/registry/types/store_messages.h
+++ b/src/coordination/registry/types/store_messages.h
@@ -24,6 +24,7 @@
   bool StoreResponds = false;
   /// For how long the store has responded without interruption.
   std::chrono::milliseconds RespondingFor{0};
+  std::uint64_t Revision = 0; ///< Of the configuration in force.
   /// Positions up to which the watcher has read the collections.
   std::uint64_t ConfigurationPosition = 0;
   std::uint64_t TargetsPosition = 0;
--- a/src/protocol/store_messages/internal/store_codec.cpp
+++ b/src/protocol/store_messages/internal/store_codec.cpp
@@ -25,7 +25,8 @@
           wire::CreateReaderReport(
               Builder, Report.StoreResponds, Report.ConfigurationPosition,
               Report.TargetsPosition,
-              static_cast<std::uint64_t>(Report.RespondingFor.count()))
+              static_cast<std::uint64_t>(Report.RespondingFor.count()),
+              Report.Revision)
               .Union()};
 }
 
@@ -87,6 +88,7 @@
     if (const auto *Report = Wire.body_as_ReaderReport())
       return watcher_report{.StoreResponds = Report->store_answers(),
                             .RespondingFor = respondingTimeOf(*Report),
+                            .Revision = Report->revision(),
                             .ConfigurationPosition =
                                 Report->configuration_position(),
                             .TargetsPosition = Report->targets_position()};
--- a/src/protocol/store_messages/tests/store_codec_test.cpp
+++ b/src/protocol/store_messages/tests/store_codec_test.cpp
@@ -32,10 +32,12 @@
   const auto Decoded = roundTrip(
       watcher_report{.StoreResponds = true,
                      .RespondingFor = std::chrono::milliseconds(1'500),
+                     .Revision = 12,
                      .ConfigurationPosition = 4,
                      .TargetsPosition = 5});
   CHECK(Decoded.StoreResponds);
   CHECK(Decoded.RespondingFor == std::chrono::milliseconds(1'500));
+  CHECK(Decoded.Revision == 12);
   CHECK(Decoded.ConfigurationPosition == 4);
   CHECK(Decoded.TargetsPosition == 5);
 }
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -54,7 +54,8 @@
             Hosting.apply(Items, IsList);
             Relay.setRanking(Hosting.ranking());
           },
-          [this](const store_changes &Changes) { Relay.relay(Changes); }),
+          [this](const store_changes &Changes) { Relay.relay(Changes); },
+          [this] { Relay.reportRead(); }),
       Relay(Services, Follower),
       Directory(
           Services.Loop,
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -1,5 +1,7 @@
 #include "transport/node/internal/store_follower.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,7 +19,7 @@
 constexpr std::chrono::milliseconds ExpiryPeriod{500};
 /// Time within which changes read by another VM must arrive here; after that
 /// they count as missing.
-constexpr std::chrono::milliseconds ComparePeriod{500};
+constexpr std::chrono::milliseconds ComparePeriod{250};
 /// Number of consecutive failures after which the store counts as unreachable.
 constexpr unsigned FailuresUntilUnreachable = 2;
 
@@ -43,10 +45,11 @@
 } // namespace
 
 store_follower::store_follower(node_services &Services, fleet_store &Store,
-                               vms_callback OnVms, changes_callback OnChanges)
+                               vms_callback OnVms, changes_callback OnChanges,
+                               read_callback OnRead)
     : Services(Services), Store(Store), OnVms(std::move(OnVms)),
-      OnChanges(std::move(OnChanges)), WakeTimer(Services.Loop),
-      RetryTimer(Services.Loop) {
+      OnChanges(std::move(OnChanges)), OnRead(std::move(OnRead)),
+      WakeTimer(Services.Loop), RetryTimer(Services.Loop) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -115,12 +118,28 @@
   }
 }
 
+void store_follower::recordStorePosition(std::uint64_t Position) {
+  StorePosition = std::max(StorePosition, Position);
+}
+
+void store_follower::compareWithStore() {
+  std::uint64_t Highest = 0;
+  for (const collection_sync &Each : Sync)
+    Highest = std::max(Highest, Each.position());
+  // A change of another collection moves the position of that collection.
+  if (IsWatcher && ExpectedStorePosition > Highest)
+    syncOf(fleet_collection::Targets).recordUndelivered();
+  ExpectedStorePosition = StorePosition;
+}
+
 void store_follower::compareWithPeers() {
   for (const fleet_collection Each :
        {fleet_collection::Configuration, fleet_collection::Targets}) {
     collection_sync &Progress = syncOf(Each);
     const bool NeededList = Progress.needsList();
     Progress.compareWithPeers();
+    if (Each == fleet_collection::Targets)
+      compareWithStore();
     if (NeededList || !Progress.needsList())
       continue;
     logEvent(log_level::Info, "store-changes-missing",
@@ -235,6 +254,8 @@
   Progress.recordPosition(Items->Position, !Items->Items.empty());
   if (!Watch && Collection == fleet_collection::Configuration)
     updateKeysConfirmedAt(StartedAt);
+  if (Current && !Watch)
+    OnRead();
   if (Current && Watch)
     OnChanges({.Collection = Collection,
                .Range = {.After = Watch->After, .Position = Items->Position},
@@ -256,9 +277,12 @@
   if (Items) {
     // The position stays unchanged, so that the next result of the watch
     // follows on its last one without a gap.
-    applyConfiguration(*Items);
+    const bool IsNewer = applyConfiguration(*Items);
+    recordStorePosition(Items->Position);
     updateKeysConfirmedAt(StartedAt);
     updateReachability(true);
+    if (IsNewer)
+      OnRead();
   } else {
     logEvent(log_level::Warning, "confirmation-failed",
              {{"cause", std::string_view(Items.error().Message)}});
@@ -301,7 +325,8 @@
       reportUnreadable(Item, *Unreadable);
   switch (Collection) {
   case fleet_collection::Configuration:
-    return applyConfiguration(Items);
+    applyConfiguration(Items);
+    return;
   case fleet_collection::Targets:
     return applyTargets(Items, IsList);
   case fleet_collection::Vms:
@@ -318,7 +343,8 @@
             {"cause", std::string_view(Content.Reason)}});
 }
 
-void store_follower::applyConfiguration(const store_items &Items) {
+bool store_follower::applyConfiguration(const store_items &Items) {
+  bool IsNewer = false;
   const configuration_ptr InForce = Services.Snapshots.current().Configuration;
   for (const store_item &Item : Items.Items) {
     const auto *Read = std::get_if<fleet_configuration>(&Item.Content);
@@ -337,7 +363,9 @@
          .Cause = "the store holds a higher version",
          .Evidence = "object revision " + std::to_string(Item.Revision),
          .Rule = "only a higher version replaces the one in force"});
+    IsNewer = true;
   }
+  return IsNewer;
 }
 
 void store_follower::applyTargets(const store_items &Items, bool IsList) {
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -23,13 +23,16 @@
 public:
   using vms_callback = std::function<void(const store_items &, bool IsList)>;
   using changes_callback = std::function<void(const store_changes &)>;
+  /// Called after a read that is not relayed brought new data.
+  using read_callback = std::function<void()>;
   /// Receives the start time of the read; empty if it failed.
   using confirmation_callback = std::function<void(std::optional<instant>)>;
 
   /// \param OnVms receives the VM entries that were read.
   /// \param OnChanges receives the results of this VM's own watches.
   store_follower(node_services &Services, fleet_store &Store,
-                 vms_callback OnVms, changes_callback OnChanges);
+                 vms_callback OnVms, changes_callback OnChanges,
+                 read_callback OnRead);
 
   void start();
   /// Sets whether this VM watches configuration and targets itself.
@@ -74,10 +77,16 @@
   bool shouldQuery(fleet_collection Collection) const;
   /// Lists a collection if changes that other VMs have read did not arrive.
   void compareWithPeers();
+  /// Records that the history of the store reaches \p Position.
+  void recordStorePosition(std::uint64_t Position);
+  /// Marks the targets for a list if the store has changes that the watches of
+  /// this VM did not deliver.
+  void compareWithStore();
 
   void apply(fleet_collection Collection, const store_items &Items,
              bool IsList);
-  void applyConfiguration(const store_items &Items);
+  /// \returns whether a newer configuration came into force.
+  bool applyConfiguration(const store_items &Items);
   void applyTargets(const store_items &Items, bool IsList);
   void updateReachability(bool Succeeded);
   void expireTargets(instant Now);
@@ -98,8 +107,13 @@
 
   vms_callback OnVms;
   changes_callback OnChanges;
+  read_callback OnRead;
   std::array<collection_sync, 3> Sync; ///< Indexed by fleet_collection.
   std::array<bool, 3> IsWatching{};    ///< Whether a watch is open.
+  /// Position of the store at the last read of the configuration.
+  std::uint64_t StorePosition = 0;
+  /// StorePosition at the last comparison.
+  std::uint64_t ExpectedStorePosition = 0;
   /// Never expires; cancelled when the result of shouldQuery() may change.
   boost::asio::steady_timer WakeTimer;
   /// Delay before the next call while the store is unreachable.
--- a/src/transport/node/internal/store_relay.cpp
+++ b/src/transport/node/internal/store_relay.cpp
@@ -49,6 +49,7 @@
 void store_relay::tick(instant Now) {
   updateRole(Now);
   updateAvailability(Now);
+  compareRevision();
   Follower.setMaxRetryDelay(Election.storeCheckPeriod(Now));
   if (!IsWatcher)
     return;
@@ -61,6 +62,17 @@
   --TicksToReport;
 }
 
+void store_relay::reportRead() {
+  if (IsWatcher)
+    report(Services.Timers.now());
+}
+
+void store_relay::compareRevision() {
+  if (ExpectedRevision > revisionInForce())
+    confirmFromStore();
+  ExpectedRevision = PeerRevision;
+}
+
 bool store_relay::hasRecentResponse(instant Now) const {
   return Follower.isStoreReachable() &&
          Now - Follower.keysConfirmedAt() < MaxResponseAge;
@@ -94,6 +106,7 @@
       .StoreResponds = ReportedReachable,
       .RespondingFor =
           std::chrono::duration_cast<std::chrono::milliseconds>(RespondingFor),
+      .Revision = revisionInForce(),
       .ConfigurationPosition =
           Follower.position(fleet_collection::Configuration),
       .TargetsPosition = Follower.position(fleet_collection::Targets)});
@@ -147,6 +160,7 @@
     Follower.retryNow();
   if (Report.StoreResponds) {
     Availability.recordReport(Report.RespondingFor, Now);
+    PeerRevision = std::max(PeerRevision, Report.Revision);
     Follower.recordPeerPosition(fleet_collection::Configuration,
                                 Report.ConfigurationPosition);
     Follower.recordPeerPosition(fleet_collection::Targets,
--- a/src/transport/node/internal/store_relay.h
+++ b/src/transport/node/internal/store_relay.h
@@ -25,6 +25,8 @@
   void setRanking(std::span<const vm_name> Ranked);
   /// Relays changes from this VM's own watch to its local peers.
   void relay(const store_changes &Changes);
+  /// Reports at once that this VM has read something that it does not relay.
+  void reportRead();
   /// Confirms the keys through a watcher, or from the store if there is none.
   void confirmKeys();
 
@@ -54,6 +56,8 @@
                         instant StartedAt);
   void confirmFromStore();
   std::uint64_t revisionInForce() const;
+  /// Reads the configuration if a watcher has had a higher version for a tick.
+  void compareRevision();
   void send(const vm_name &Peer, const store_message &Message);
   void sendToAll(const store_message &Message);
 
@@ -68,6 +72,10 @@
   /// Whether the last report described the store as reachable.
   bool ReportedReachable = false;
   unsigned TicksToReport = 0;
+  /// Highest version of the configuration that a watcher reported.
+  std::uint64_t PeerRevision = 0;
+  /// PeerRevision at the last tick.
+  std::uint64_t ExpectedRevision = 0;
   std::uint64_t LastRequestNumber = 0;
   std::optional<pending_request> PendingRequest;
   timer_subscription Timer;
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -58,6 +58,12 @@
     });
   }
 
+  /// Waits until two nodes watch the store and no node lists it any more.
+  void awaitSettled() const {
+    awaitWatchers();
+    std::this_thread::sleep_for(3s);
+  }
+
   /// Waits until a node has reached the store a second time since its start.
   static void awaitRegainedTwice(const store_node &Each) {
     awaitCondition("the store to be regained", [&] {
@@ -244,3 +250,30 @@
   std::this_thread::sleep_for(1s);
   CHECK(countServedElsewhere(Follower, 20) == 20);
 }
+
+// Guards against VMs that act on an old configuration because the watches of
+// their data centre deliver nothing and they serve no requests themselves.
+TEST_CASE_FIXTURE(
+    object_platform_fixture,
+    "nodes_noWatchEventsNoRequests_configurationAppliedWithinTwoSeconds") {
+  awaitSettled();
+  setPlatformFaults("deaf=1");
+  writeConfiguration(2, {Keepers});
+  std::this_thread::sleep_for(2s);
+  for (const auto &Each : Nodes)
+    CHECK(
+        jsonInteger(httpCall(Each->Node.OperatorPort, {.Path = "/status"}).Body,
+                    "revision") == 2);
+}
+
+// Guards against VMs that do not hear of a draining target because the watches
+// of their data centre deliver nothing.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "nodes_noWatchEvents_drainingAppliedWithinTwoSeconds") {
+  awaitSettled();
+  setPlatformFaults("deaf=1");
+  registerTarget(*Targets[0], "draining");
+  std::this_thread::sleep_for(2s);
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+    CHECK(countServedElsewhere(Node, 20) == 20);
+}
