Move the publishing of targets out of store_follower

Behaviour is unchanged but for the log: target-entry tells whether the store is available to any VM instead of to this one, and the position of the result that the decision follows from. Two tests of a faulty target share their checks.

--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -16,7 +16,6 @@
 
 /// Time after which a watch without changes returns.
 constexpr std::chrono::milliseconds MaxWatchWait{10'000};
-constexpr std::chrono::milliseconds ExpiryPeriod{500};
 /// Time within which changes read by another VM must arrive here; after that
 /// they count as missing.
 constexpr std::chrono::milliseconds ComparePeriod{250};
@@ -49,7 +48,7 @@
                                read_callback OnRead)
     : Services(Services), Store(Store), OnVms(std::move(OnVms)),
       OnChanges(std::move(OnChanges)), OnRead(std::move(OnRead)),
-      WakeTimer(Services.Loop), RetryTimer(Services.Loop) {
+      WakeTimer(Services.Loop), RetryTimer(Services.Loop), Targets(Services) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -58,8 +57,7 @@
        {fleet_collection::Configuration, fleet_collection::Targets,
         fleet_collection::Vms})
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
-  ExpiryTimer = Services.Timers.every(
-      ExpiryPeriod, [this](instant Now) { expireTargets(Now); });
+  Targets.start();
   CompareTimer = Services.Timers.every(ComparePeriod,
                                        [this](instant) { compareWithPeers(); });
 }
@@ -166,29 +164,6 @@
   updateReachability(false);
 }
 
-void store_follower::setStoreAvailableSince(std::optional<instant> Since,
-                                            instant Now) {
-  Targets.handle(Since ? registry_event(store_available{*Since})
-                       : registry_event(store_unavailable{}),
-                 Now);
-  if (Since.has_value() != IsStoreAvailable) {
-    IsStoreAvailable = Since.has_value();
-    logEvent(log_level::Info, "store-availability",
-             {{"available", IsStoreAvailable},
-              {"reachable_from_here", IsReachable},
-              {"rule", "targets without an entry stay in use while no VM "
-                       "reaches the store and for a grace period after"}});
-  }
-  expireTargets(Now);
-}
-
-void store_follower::expireTargets(instant Now) {
-  if (!Targets.expire(Now))
-    return;
-  logTargetDecisions();
-  publishTargets();
-}
-
 task<void> store_follower::catchUp(fleet_collection Collection) {
   co_await execute(Collection, list_step{});
 }
@@ -328,7 +303,7 @@
     applyConfiguration(Items);
     return;
   case fleet_collection::Targets:
-    return applyTargets(Items, IsList);
+    return Targets.apply(Items, IsList);
   case fleet_collection::Vms:
     return OnVms(Items, IsList);
   }
@@ -368,50 +343,4 @@
   return IsNewer;
 }
 
-void store_follower::applyTargets(const store_items &Items, bool IsList) {
-  const instant Now = Services.Timers.now();
-  targets_listed Listed;
-  bool Changed = false;
-  for (const store_item &Item : Items.Items) {
-    const auto *Target = std::get_if<registered_target>(&Item.Content);
-    if (IsList) {
-      if (Target)
-        Listed.Targets.push_back(*Target);
-      continue;
-    }
-    Changed |= Targets.handle(
-        Item.IsRemoved || !Target
-            ? registry_event(target_removed{target_name(Item.Name)})
-            : registry_event(target_changed{*Target}),
-        Now);
-  }
-  if (IsList)
-    Changed = Targets.handle(std::move(Listed), Now);
-  logTargetDecisions();
-  if (Changed || !Services.Snapshots.current().RegisteredTargets)
-    publishTargets();
-}
-
-void store_follower::logTargetDecisions() {
-  for (const target_decision &Each : Targets.takeDecisions())
-    logEvent(log_level::Info, "target-entry",
-             {{"target", Each.Target.view()},
-              {"transition", nameOf(Each.Transition)},
-              {"store_reachable", IsReachable},
-              {"position", static_cast<std::int64_t>(
-                               position(fleet_collection::Targets))}});
-}
-
-void store_follower::publishTargets() {
-  const auto Table = std::make_shared<const target_table>(Targets.table());
-  Services.Snapshots.update(
-      [&](routing_snapshot &Snapshot) { Snapshot.RegisteredTargets = Table; });
-  std::size_t InUse = 0;
-  for (const auto &[Service, Registered] : *Table)
-    InUse += Registered.size();
-  logEvent(log_level::Info, "targets-changed",
-           {{"registered", static_cast<std::int64_t>(Targets.size())},
-            {"in_use", static_cast<std::int64_t>(InUse)}});
-}
-
 } // namespace peridot
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -9,9 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "coordination/registry/collection_sync.h"
-#include "coordination/registry/target_registry.h"
 #include "coordination/registry/types/store_messages.h"
 #include "transport/node/control_context.h"
+#include "transport/node/internal/target_publisher.h"
 #include "transport/platform/types/fleet_store.h"
 
 namespace peridot {
@@ -47,7 +47,9 @@
   void retryNow();
   /// Sets since when the store has been available to at least one known VM;
   /// empty: it is available to none.
-  void setStoreAvailableSince(std::optional<instant> Since, instant Now);
+  void setStoreAvailableSince(std::optional<instant> Since, instant Now) {
+    Targets.setStoreAvailableSince(Since, Now);
+  }
   /// Treats the store as unreachable, because other VMs reported it as such.
   void setStoreUnreachable();
   std::uint64_t position(fleet_collection Collection) const {
@@ -87,14 +89,9 @@
              bool IsList);
   /// \returns whether a newer configuration came into force.
   bool applyConfiguration(const store_items &Items);
-  void applyTargets(const store_items &Items, bool IsList);
   void updateReachability(bool Succeeded);
-  void expireTargets(instant Now);
   void reportUnreadable(const store_item &Item,
                         const unreadable_content &Content);
-  /// Logs what the registry decided since the last call.
-  void logTargetDecisions();
-  void publishTargets();
 
   node_services &Services;
   fleet_store &Store;
@@ -118,14 +115,12 @@
   boost::asio::steady_timer WakeTimer;
   /// Delay before the next call while the store is unreachable.
   boost::asio::steady_timer RetryTimer;
-  target_registry Targets;
+  target_publisher Targets;
   bool IsWatcher = true;
   bool IsReachable = false;
-  bool IsStoreAvailable = false; ///< To at least one known VM.
   instant KeysConfirmedAt{};
   /// Callbacks that wait for the same read.
   std::vector<confirmation_callback> PendingConfirmations;
-  timer_subscription ExpiryTimer;
   timer_subscription CompareTimer;
 };
 
--- /dev/null
+++ b/src/transport/node/internal/target_publisher.h
@@ -0,0 +1,39 @@
+/// \file
+/// Publishes the targets that registered in the platform's store.
+#pragma once
+
+#include <optional>
+
+#include "coordination/registry/target_registry.h"
+#include "transport/node/control_context.h"
+#include "transport/platform/types/fleet_store.h"
+
+namespace peridot {
+
+/// Runs on the control thread. Updates the targets of the routing snapshot and
+/// logs why a target is in use or not.
+class target_publisher {
+public:
+  explicit target_publisher(node_services &Services) : Services(Services) {}
+
+  void start();
+  /// Applies a list of all entries or the changes since the last result.
+  void apply(const store_items &Items, bool IsList);
+  /// Sets since when the store has been available to at least one known VM;
+  /// empty: it is available to none.
+  void setStoreAvailableSince(std::optional<instant> Since, instant Now);
+
+private:
+  void expire(instant Now);
+  /// Logs what the registry decided since the last call.
+  void logDecisions();
+  void publish();
+
+  node_services &Services;
+  target_registry Registry;
+  bool IsStoreAvailable = false; ///< To at least one known VM.
+  std::uint64_t Position = 0;    ///< Of the last result in the store's history.
+  timer_subscription ExpiryTimer;
+};
+
+} // namespace peridot
--- a/tests/integration/faulty_target_test.cpp
+++ b/tests/integration/faulty_target_test.cpp
@@ -95,6 +95,18 @@
           MaxExtraKilobytes);
   }
 
+  /// Sends one request; checks that the node closes the connection early, needs
+  /// little memory and does not mark the response as complete.
+  void checkClosedEarly() {
+    const std::size_t Before = Nodes.front()->Process->peakMemoryKilobytes();
+    const std::string Response =
+        sendRaw("GET /raw HTTP/1.1\r\nHost: fleet\r\n\r\n");
+    CHECK(!Response.ends_with("\r\n0\r\n\r\n"));
+    CHECK(BytesTaken.load() < MaxBytesTaken);
+    CHECK(Nodes.front()->Process->peakMemoryKilobytes() - Before <
+          MaxExtraKilobytes);
+  }
+
   std::atomic<std::size_t> BytesTaken = 0;
 };
 
@@ -126,25 +138,13 @@
 TEST_CASE_FIXTURE(endless_response_fixture,
                   "node_unboundedChunkExtension_connectionClosedEarly") {
   respondEndlessly(ChunkedHead + "5;x=", "bees");
-  const std::size_t Before = Nodes.front()->Process->peakMemoryKilobytes();
-  const std::string Response =
-      sendRaw("GET /raw HTTP/1.1\r\nHost: fleet\r\n\r\n");
-  CHECK(!Response.ends_with("\r\n0\r\n\r\n"));
-  CHECK(BytesTaken.load() < MaxBytesTaken);
-  CHECK(Nodes.front()->Process->peakMemoryKilobytes() - Before <
-        MaxExtraKilobytes);
+  checkClosedEarly();
 }
 
 TEST_CASE_FIXTURE(endless_response_fixture,
                   "node_unboundedTrailer_connectionClosedEarly") {
   respondEndlessly(ChunkedHead + "5\r\nqueen\r\n0\r\n", "X-Filler: bees\r\n");
-  const std::size_t Before = Nodes.front()->Process->peakMemoryKilobytes();
-  const std::string Response =
-      sendRaw("GET /raw HTTP/1.1\r\nHost: fleet\r\n\r\n");
-  CHECK(!Response.ends_with("\r\n0\r\n\r\n"));
-  CHECK(BytesTaken.load() < MaxBytesTaken);
-  CHECK(Nodes.front()->Process->peakMemoryKilobytes() - Before <
-        MaxExtraKilobytes);
+  checkClosedEarly();
 }
 
 // A body without an end is passed on, with bounded memory, until the deadline.
