Take downloads as repeatable requests with large responses

Cause: the adapter knew one repeatable kind, so a download counted as one that must not be repeated: it was never tried again, and a response that broke off halfway reached the caller as a 200 with part of its body. Change: routes have the property HasLargeResponses (large_responses in service files). The responses of such repeatable routes are buffered up to 512 KB, 16 MB in a traffic thread, so that a broken one is fetched from another target. route_statistics learns the size of a route's responses; the cost of leaving the data centre counts it.

--- a/src/coordination/load_balancing/internal/load_balancer.cpp
+++ b/src/coordination/load_balancing/internal/load_balancer.cpp
@@ -101,7 +101,7 @@
   if (Target.DataCenter != Context.DataCenter)
     Cost += Costs.CrossDataCenterCost +
             Costs.CrossDataCenterCostPerKilobyte *
-                static_cast<double>(Request.BodyBytes) / BytesPerKilobyte;
+                static_cast<double>(Request.ExpectedBytes) / BytesPerKilobyte;
   return Cost + Costs.MaxJitter * jitter(Context.Random,
                                          std::hash<target_name>{}(Target.Name));
 }
--- a/src/coordination/load_balancing/load_balancer.h
+++ b/src/coordination/load_balancing/load_balancer.h
@@ -18,7 +18,8 @@
 /// Properties of a request that affect the choice.
 struct request_traits {
   bool IsRepeatable = false;
-  std::size_t BodyBytes = 0;
+  /// Bytes that the request and its response are expected to transfer.
+  std::size_t ExpectedBytes = 0;
   std::span<const target_name> Tried; ///< Not chosen again.
 };
 
--- a/src/coordination/load_balancing/tests/load_balancer_test.cpp
+++ b/src/coordination/load_balancing/tests/load_balancer_test.cpp
@@ -32,9 +32,10 @@
   }
 
   const target *choose(std::uint64_t Random = 1, bool IsRepeatable = false,
-                       std::size_t BodyBytes = 0) {
+                       std::size_t ExpectedBytes = 0) {
     return Balancer
-        .choose(Targets, {.IsRepeatable = IsRepeatable, .BodyBytes = BodyBytes},
+        .choose(Targets,
+                {.IsRepeatable = IsRepeatable, .ExpectedBytes = ExpectedBytes},
                 {.DataCenter = data_center_name("lakes-a"),
                  .Now = Now,
                  .Random = Random})
@@ -75,6 +76,17 @@
     CHECK(choose(Random)->Name == target_name("near-2"));
 }
 
+// Pattern: a data centre is short of slots, so some requests leave it. Those
+// with large responses stay while the local targets are only busy.
+TEST_CASE_FIXTURE(load_balancer_fixture,
+                  "choose_localTargetsBusy_onlySmallTransfersLeave") {
+  for (const char *Name : {"near-1", "near-2"})
+    for (int Count = 0; Count < 3; ++Count)
+      Balancer.begin(target_name(Name), Now, duration{0});
+  CHECK(choose(1, true, 400)->Name == target_name("far-1"));
+  CHECK(choose(1, true, 90'000)->DataCenter == data_center_name("lakes-a"));
+}
+
 TEST_CASE_FIXTURE(load_balancer_fixture,
                   "choose_allLocalTargetsFailing_remoteTargetChosen") {
   fail("near-1", 2);
--- a/src/coordination/load_balancing/types/load_balancer_options.h
+++ b/src/coordination/load_balancing/types/load_balancer_options.h
@@ -42,7 +42,7 @@
   double SlownessCost = 0.2;
   double MaxSlownessCost = 0.8;
   /// Cost of leaving the data centre, and its increment for each kilobyte of
-  /// the request.
+  /// the request and its response.
   double CrossDataCenterCost = 0.06;
   double CrossDataCenterCostPerKilobyte = 0.01;
   /// Maximum deduction from the cost of a target without recent observations,
--- a/src/protocol/platform_documents/internal/platform_documents.cpp
+++ b/src/protocol/platform_documents/internal/platform_documents.cpp
@@ -30,6 +30,7 @@
   return {{"path", text(Route.PathPrefix)},
           {"methods", arrayOf(std::span(Route.Methods), text)},
           {"repeatable", Route.IsRepeatable},
+          {"large_responses", Route.HasLargeResponses},
           {"open", Route.IsOpen},
           {"deadline_ms", Route.Deadline.count()},
           {"max_body_bytes", Route.MaxBodyBytes}};
@@ -61,6 +62,10 @@
   for (const json::value &Method : Value.at("methods").as_array())
     Route.Methods.emplace_back(textOf(Method));
   Route.IsRepeatable = Value.at("repeatable").as_bool();
+  // Missing in documents of earlier versions.
+  if (const json::value *Large =
+          Value.as_object().if_contains("large_responses"))
+    Route.HasLargeResponses = Large->as_bool();
   Route.IsOpen = Value.at("open").as_bool();
   Route.Deadline = std::chrono::milliseconds(
       Value.at("deadline_ms").to_number<std::int64_t>());
--- a/src/protocol/service_files/internal/service_file_reader.cpp
+++ b/src/protocol/service_files/internal/service_file_reader.cpp
@@ -38,6 +38,7 @@
                     "write an absolute path");
   Route.Methods = Reader.stringsOrEmpty("methods");
   Route.IsRepeatable = Reader.boolOr("repeatable", false);
+  Route.HasLargeResponses = Reader.boolOr("large_responses", false);
   Route.IsOpen = Reader.boolOr("open", false);
   Route.Deadline = std::chrono::milliseconds(Reader.integerOr(
       "deadline_ms", Route.Deadline.count(), 1, MaxDeadlineMs));
--- a/src/state/configuration/types/fleet_configuration.h
+++ b/src/state/configuration/types/fleet_configuration.h
@@ -66,7 +66,10 @@
   std::vector<weighted_service> Split;
   std::vector<std::string> Methods; ///< Empty: every method.
   bool IsRepeatable =
-      false;           ///< Whether a request can safely run more than once.
+      false; ///< Whether a request can safely run more than once.
+  /// Whether responses are usually large, so that it matters more where they
+  /// come from and that a broken one is fetched again.
+  bool HasLargeResponses = false;
   bool IsOpen = false; ///< Whether callers may omit the key.
   std::chrono::milliseconds Deadline{10'000};
   std::uint64_t MaxBodyBytes = 8U << 20U;
--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -58,8 +58,8 @@
   bool Reusable = false;
   if (!Result.Error && !Result.Cause && !Result.CallerDisconnected) {
     Watch.closeWhenCallerDisconnects(Connection->Stream);
-    Result.Error = co_await relayResponse(*Connection, *Admitted.Service,
-                                          Result, Reusable);
+    Result.Error =
+        co_await relayResponse(*Connection, Admitted, Result, Reusable);
     Result.CallerDisconnected = Watch.hasCallerDisconnected();
     Watch.disarm();
   }
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -2,6 +2,8 @@
 /// Relays the response from the target to the caller; part of request_relay.
 #include "transport/callers/internal/request_relay.h"
 
+#include <algorithm>
+
 #include <boost/beast/http.hpp>
 
 #include "protocol/http/beast_view.h"
@@ -88,13 +90,13 @@
 
 task<boost::system::error_code>
 request_relay::relayResponse(target_connection &Connection,
-                             const service &Service, attempt_result &Result,
-                             bool &Reusable) {
+                             const admitted_request &Admitted,
+                             attempt_result &Result, bool &Reusable) {
   beast::flat_buffer Buffer;
   Buffer.reserve(InitialResponseBufferBytes);
   std::optional<target_response_parser> Response;
   if (const auto Error = co_await readResponseHead(Connection, Buffer, Response,
-                                                   Service, Result))
+                                                   *Admitted.Service, Result))
     co_return Error;
   Connection.Stream.expires_at(Deadline);
   Result.HeadReceivedAt = bootNow();
@@ -113,14 +115,21 @@
   if (!Result.Report.Genuine)
     co_return make_error_code(boost::system::errc::bad_message);
   const auto Length = Response->content_length();
-  if (!Length || *Length > Worker.options().ResponseBufferBytes ||
-      Request.get().method() == http::verb::head) {
+  if (Length)
+    Result.ResponseBytes = *Length;
+  buffered_response Buffered;
+  const route &Route = *Admitted.Route;
+  const bool IsBuffered =
+      Length && Request.get().method() != http::verb::head &&
+      Worker.responseBuffers().reserve(
+          *Length, Route.IsRepeatable && Route.HasLargeResponses,
+          Buffered.Reservation);
+  if (!IsBuffered) {
     const auto Error =
         co_await relayResponseBody(Connection, Buffer, *Response, Result);
     Reusable = !Error && TargetKeeps && Buffer.size() == 0;
     co_return Error;
   }
-  buffered_response Buffered;
   if (const auto Error = co_await bufferResponse(Connection, Buffer, *Response,
                                                  *Length, Buffered))
     co_return Error;
@@ -137,7 +146,8 @@
   Forwarded.keep_alive(SentKeepAlive);
   CallerGotBytes = true;
   // A complete response is delivered even after the request's deadline.
-  Caller.expires_after(DeliveryTimeout);
+  Caller.expires_at(
+      std::max(Deadline, std::chrono::steady_clock::now() + DeliveryTimeout));
   auto [Error, Written] =
       co_await http::async_write(Caller, Forwarded, UseTaskTuple);
   co_return !Error;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -136,7 +136,8 @@
 std::chrono::steady_clock::time_point
 request_relay::responseHeadDeadline(const route &Route,
                                     const retry_budget &Retries) const {
-  const duration TypicalLatency = Worker.routeLatencies().typicalLatency(Route);
+  const duration TypicalLatency =
+      Worker.routeStatistics().typicalLatency(Route);
   // A leaving VM does not abort an attempt that a target may be working on.
   if (isLeaving() || !Route.IsRepeatable ||
       ConnectedAttempts + 1 >= Route.MaxAttempts || !Retries.hasRetry() ||
@@ -189,6 +190,12 @@
 }
 
 const target *request_relay::choose(const admitted_request &Admitted,
+std::size_t request_relay::expectedBytes(const route &Route) const {
+  const std::size_t BodyBytes = std::max<std::size_t>(
+      BufferedBody.size(), Request.content_length().value_or(0));
+  return BodyBytes + Worker.routeStatistics().typicalResponseBytes(Route);
+}
+
                                     const routing_snapshot &Snapshot) {
   load_balancer *LoadBalancer = Worker.loadBalancer();
   if (!LoadBalancer)
@@ -196,7 +203,7 @@
   const load_balancer_choice Choice =
       LoadBalancer->choose(Snapshot.targetsOf(*Admitted.Service),
                            {.IsRepeatable = Admitted.Route->IsRepeatable,
-                            .BodyBytes = BufferedBody.size(),
+                            .ExpectedBytes = expectedBytes(*Admitted.Route),
                             .Tried = TriedTargets},
                            {.DataCenter = Worker.options().DataCenter,
                             .Now = bootNow(),
@@ -229,7 +236,7 @@
   const instant StartedAt = bootNow();
   load_balancer *LoadBalancer = Worker.loadBalancer();
   const duration TypicalLatency =
-      Worker.routeLatencies().typicalLatency(*Admitted.Route);
+      Worker.routeStatistics().typicalLatency(*Admitted.Route);
   const std::uint64_t Id =
       LoadBalancer ? LoadBalancer->begin(Target.Name, StartedAt, TypicalLatency)
                    : 0;
@@ -246,7 +253,10 @@
     if (TypicalLatency > duration{0})
       LatencyRatio = std::chrono::duration<double>(Latency) /
                      std::chrono::duration<double>(TypicalLatency);
-    Worker.routeLatencies().note(*Admitted.Route, Latency);
+    Worker.routeStatistics().recordLatency(*Admitted.Route, Latency);
+    if (Result.ResponseBytes)
+      Worker.routeStatistics().recordResponseBytes(*Admitted.Route,
+                                                   *Result.ResponseBytes);
   }
   LoadBalancer->noteLoad(Target.Name, Result.Report.Slots, Now);
   LoadBalancer->end(Target.Name, Id, End, LatencyRatio, Now);
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -28,6 +28,7 @@
 struct buffered_response {
   boost::beast::http::response_header<> Head;
   std::string Body;
+  buffer_reservation Reservation;
 };
 
 /// Relays one request; each request has its own instance.
@@ -65,6 +66,8 @@
     std::optional<buffered_response> Buffered;
     /// Keep-alive timeout of the connection, if the target announced one.
     std::optional<std::chrono::seconds> KeepAlive;
+    /// Size of the response body, if the target declared it.
+    std::optional<std::uint64_t> ResponseBytes;
   };
   using target_response_parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -76,6 +79,8 @@
                                  const routing_snapshot &Snapshot);
   /// Makes one attempt, logs it and records what it shows about the target.
   task<attempt_result> attemptAndObserve(const target &Target,
+  /// Bytes that the request and its response will transfer, as far as known.
+  std::size_t expectedBytes(const route &Route) const;
                                          const admitted_request &Admitted);
   /// Returns the deadline for the response head of the next attempt.
   std::chrono::steady_clock::time_point
@@ -118,10 +123,9 @@
                         boost::beast::http::buffer_body::value_type &SinkBody,
                         std::uint64_t MaxBodyBytes, attempt_result &Result);
   void recordUploadResult(const copy_result &End, attempt_result &Result);
-  task<boost::system::error_code> relayResponse(target_connection &Connection,
-                                                const service &Service,
-                                                attempt_result &Result,
-                                                bool &Reusable);
+  task<boost::system::error_code>
+  relayResponse(target_connection &Connection, const admitted_request &Admitted,
+                attempt_result &Result, bool &Reusable);
   /// Reads response heads until one belongs to this attempt, and discards
   /// responses to earlier requests.
   task<boost::system::error_code>
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -39,7 +39,9 @@
                        ? std::optional<load_balancer>(*Options.LoadBalancing)
                        : std::nullopt),
       Meters(Metrics), Queues(std::make_unique<service_queues>()),
-      Loop(ThreadName), Acceptor(Loop.context()), Timers(Loop.context()) {}
+      ResponseBuffers(Options.ResponseBuffers),
+      Loop(ThreadName, logHandlerFailure), Acceptor(Loop.context()),
+      Timers(Loop.context()) {}
 
 traffic_worker::~traffic_worker() {
   Loop.stop();
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -14,7 +14,7 @@
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
 #include "coordination/load_balancing/load_balancer.h"
-#include "coordination/load_balancing/route_latencies.h"
+#include "coordination/load_balancing/route_statistics.h"
 #include "coordination/load_balancing/weighted_rotation.h"
 #include "coordination/routing/types/routing_snapshot.h"
 #include "protocol/http/types/http_dialect.h"
@@ -22,6 +22,7 @@
 #include "state/metrics/metrics_registry.h"
 #include "transport/callers/request_meters.h"
 #include "transport/runtime/event_loop.h"
+#include "transport/callers/response_buffers.h"
 #include "transport/runtime/timer_service.h"
 #include "transport/targets/target_pool.h"
 
@@ -40,10 +41,10 @@
   /// Bytes of a request body that are buffered before a target is chosen, so
   /// that the request can be retried at another target.
   std::size_t RequestBufferBytes = 32U << 10U;
-  /// Maximum size of a response that is buffered completely before it is
-  /// forwarded, so that the request can be retried if the response is damaged.
-  /// Larger responses are streamed.
-  std::uint64_t ResponseBufferBytes = 0;
+  /// Responses that are buffered completely before they are forwarded, so that
+  /// the request can be retried if the response is damaged. Others are
+  /// streamed.
+  response_buffer_limits ResponseBuffers;
   /// Set if targets are chosen by what this VM and its peers observe; otherwise
   /// the verdicts of the services' owners decide.
   std::optional<load_balancer_settings> LoadBalancing;
@@ -123,7 +124,8 @@
   load_balancer *loadBalancer() {
     return LoadBalancer ? &*LoadBalancer : nullptr;
   }
-  route_latencies &routeLatencies() { return RouteLatencies; }
+  route_statistics &routeStatistics() { return RouteStatistics; }
+  response_buffers &responseBuffers() { return ResponseBuffers; }
   /// Index in the split of \p Route of the service for its next request.
   std::size_t nextInSplit(const route &Route);
   const traffic_options &options() const { return Options; }
@@ -169,7 +171,7 @@
   snapshot_ptr Snapshot = std::make_shared<routing_snapshot>();
   target_pool Targets;
   std::optional<load_balancer> LoadBalancer;
-  route_latencies RouteLatencies;
+  route_statistics RouteStatistics;
   std::unordered_map<std::string, weighted_rotation> Rotations;
   instant KeysFreshUntil = instant::max();
   instant ConfirmationRequestedAt{};
@@ -181,7 +183,9 @@
   std::atomic<std::size_t> Connections{0};
   std::size_t RunningRejections = 0;
   bool IsShuttingDown = false;
-  /// Must outlive the loop, whose coroutines hold slots of these queues.
+  std::optional<shutdown_schedule> ShutdownSchedule;
+  /// Must outlive the loop, whose coroutines hold slots of these queues and
+  /// reservations of these buffers.
   std::unique_ptr<service_queues> Queues;
   event_loop Loop;
   tcp_acceptor Acceptor;
@@ -190,3 +194,4 @@
 };
 
 } // namespace peridot
+  response_buffers ResponseBuffers;
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -43,7 +43,8 @@
 constexpr std::chrono::milliseconds StartupTimeout{800};
 
 constexpr std::size_t RequestBufferBytes = 512U << 10U;
-constexpr std::uint64_t ResponseBufferBytes = 64U << 10U;
+constexpr response_buffer_limits ResponseBuffers{
+    .Small = 64U << 10U, .Large = 512U << 10U, .Total = 16U << 20U};
 
 traffic_options trafficOptions(const node_settings &Settings) {
   traffic_options Options{
@@ -55,7 +56,7 @@
     Options.LoadBalancing =
         load_balancer_settings{.Floor = {.Share = Settings.FloorShare}};
     Options.RequestBufferBytes = RequestBufferBytes;
-    Options.ResponseBufferBytes = ResponseBufferBytes;
+    Options.ResponseBuffers = ResponseBuffers;
     Options.StartupTimeout = StartupTimeout;
     Options.Pool.UnrepeatableIdleLimit = UnrepeatableIdleLimit;
   }
--- a/tests/integration/store_attempts_test.cpp
+++ b/tests/integration/store_attempts_test.cpp
@@ -80,6 +80,23 @@
   CHECK(countServedWithin(1s, "/logs/1", 12) == 12);
 }
 
+// Guards against large responses that break off halfway: while nothing was sent
+// to the caller, the request goes to another target.
+TEST_CASE_FIXTURE(store_attempts_fixture,
+                  "node_largeResponseBreaksOff_fetchedFromOtherTarget") {
+  constexpr std::size_t Bytes = 200'000;
+  Targets[0]->Target.setBehaviour("answer_bytes=200000&truncate_at=150000");
+  Targets[1]->Target.setBehaviour("answer_bytes=200000");
+  for (int Count = 0; Count < 12; ++Count) {
+    const client_response Response =
+        callWithKey(Nodes.front()->Node.CallerPort, "/packs/1", "keeper-key",
+                    "pack" + std::to_string(Count));
+    CHECK(Response.Status == 200);
+    CHECK(Response.Body.size() == Bytes);
+  }
+  CHECK(Targets[0]->Target.executions() != "[]");
+}
+
 TEST_CASE_FIXTURE(store_attempts_fixture,
                   "node_leaving_slowTargetsNotLeftWhileAtWork") {
   REQUIRE(countServedWithin(1s, "/logs/1", 20) == 20);
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -54,6 +54,7 @@
     const std::string &ExtraRoutePrefix) const {
   json::array Resources{routeTo("/logs/", "idempotent"),
                         routeTo("/dispatch/", "non_idempotent"),
+                        routeTo("/packs/", "download"),
                         {{"resource-kind", "services"},
                          {"metadata", {{"name", "hive"}}},
                          {"spec", {{"health-path", "/health"}}}}};
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -37,7 +37,8 @@
   store_fleet();
 
   /// Writes a configuration of host "fleet" with the routes /logs/ (repeatable,
-  /// two attempts) and /dispatch/ (not repeatable) to service "hive".
+  /// two attempts), /packs/ (the same, with large responses) and /dispatch/
+  /// (not repeatable) to service "hive".
   /// \param ExtraRoutePrefix path prefix of one more repeatable route; empty:
   /// none.
   void writeConfiguration(int Version,
