Close peer links whose bytes are not acknowledged, and dial again

Cause: a link between two VMs had no limit for unacknowledged bytes. Change: TCP_USER_TIMEOUT of 1.5 s on peer links. The option was set in two places already; dead_peer_detection now holds it once for the store, targets and peers.

--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -4,13 +4,12 @@
 
 #include <algorithm>
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
 #include "protocol/http/beast_view.h"
 #include "transport/callers/internal/relay_errors.h"
+#include "transport/runtime/dead_peer_detection.h"
 
 namespace peridot {
 
@@ -25,12 +24,9 @@
 /// Maximum time to connect, so that time is left for another target if this
 /// one is unreachable.
 constexpr std::chrono::milliseconds ConnectTimeout{300};
-/// TCP_USER_TIMEOUT: a target connection is closed when sent bytes stay
-/// unacknowledged for this time.
-constexpr std::chrono::duration<int, std::milli> UnacknowledgedTimeout{5'000};
-
-using user_timeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+/// An idle connection is checked by its next request, so there are no probes.
+constexpr dead_peer_limits DeadPeerLimits{.Unacknowledged =
+                                              std::chrono::seconds(5)};
 
 } // namespace
 
@@ -115,8 +111,7 @@
   if (ConnectError)
     co_return nullptr;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
-  Stream.socket().set_option(user_timeout(UnacknowledgedTimeout.count()),
-                             Error);
+  enableDeadPeerDetection(Stream.socket(), DeadPeerLimits);
   co_return std::make_unique<target_connection>(std::move(Stream));
 }
 
--- a/src/transport/peers/internal/peer_link.cpp
+++ b/src/transport/peers/internal/peer_link.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include "state/metrics/series_label.h"
+#include "transport/runtime/dead_peer_detection.h"
 
 namespace peridot {
 
@@ -20,6 +21,11 @@
 /// A link on which a frame cannot be written within this time is abandoned and
 /// dialed again for the next message.
 constexpr std::chrono::seconds WriteTimeout{5};
+/// Messages are only useful while they are recent, so a link that the network
+/// has lost track of is dialed again soon. Leaves time for TCP to resend a lost
+/// segment three times.
+constexpr dead_peer_limits DeadPeerLimits{.Unacknowledged =
+                                              std::chrono::milliseconds(1'500)};
 
 std::string subjectLabel(frame_subject Subject) {
   return seriesLabel("subject", nameOf(Subject));
@@ -79,6 +85,7 @@
     co_return std::nullopt;
   boost::system::error_code Ignored;
   Stream->socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  enableDeadPeerDetection(Stream->socket(), DeadPeerLimits);
   link_challenge Challenge{};
   auto [ReadError, Read] =
       co_await asio::async_read(*Stream, asio::buffer(Challenge), UseTaskTuple);
--- a/src/transport/platform/internal/platform_connection.cpp
+++ b/src/transport/platform/internal/platform_connection.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
-#include <netinet/tcp.h>
-
 #include <boost/beast/http.hpp>
 
+#include "transport/runtime/dead_peer_detection.h"
+
 namespace peridot {
 
 namespace asio = boost::asio;
@@ -18,29 +18,12 @@
 /// Maximum time to open a connection. TCP resends a lost SYN only after a
 /// second, so a new attempt is faster.
 constexpr std::chrono::milliseconds ConnectTimeout{600};
-/// Idle time after which the kernel sends keep-alive probes.
-constexpr int KeepAliveIdleSeconds = 1;
-constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int KeepAliveProbes = 2;
-/// Time after which unacknowledged bytes close a connection.
-constexpr int UnacknowledgedLimitMs = 3'000;
-
-template <int Name>
-using tcp_option = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
-
-/// Makes the kernel close a dead connection, which otherwise looks the same as
-/// an idle one.
-void enableDeadPeerDetection(tcp_socket &Socket) {
-  boost::system::error_code Ignored; // The call still has its timeout.
-  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
-  Socket.set_option(tcp_option<TCP_KEEPIDLE>(KeepAliveIdleSeconds), Ignored);
-  Socket.set_option(tcp_option<TCP_KEEPINTVL>(KeepAliveIntervalSeconds),
-                    Ignored);
-  Socket.set_option(tcp_option<TCP_KEEPCNT>(KeepAliveProbes), Ignored);
-  Socket.set_option(tcp_option<TCP_USER_TIMEOUT>(UnacknowledgedLimitMs),
-                    Ignored);
-}
+/// A watch is idle while nothing changes, so probes have to show that its
+/// connection still works.
+constexpr dead_peer_limits DeadPeerLimits{
+    .Unacknowledged = std::chrono::seconds(3),
+    .ProbeInterval = std::chrono::seconds(1),
+    .Probes = 2};
 
 tl::unexpected<error> callFailure(std::string_view Step,
                                   const boost::system::error_code &Error) {
@@ -80,7 +63,9 @@
     Stream.reset();
     co_return callFailure("connecting", Error);
   }
-  enableDeadPeerDetection(Stream->socket());
+  boost::system::error_code Ignored; // Only delays the first bytes.
+  Stream->socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  enableDeadPeerDetection(Stream->socket(), DeadPeerLimits);
   co_return result<void>{};
 }
 
