Refuse requests that would not end before a planned stop does

Cause: a VM that was stopping accepted requests on open connections until its process ended, passed them on, and cut them off with the process, also requests that must not be repeated. Callers got no answer, while the target ran them. Change: shutdown_rule. A request whose timeout reaches beyond the end of the process is refused as not run; in the first half of the shutdown, eight times the typical latency of its route is enough.

--- a/src/coordination/routing/internal/refusal.cpp
+++ b/src/coordination/routing/internal/refusal.cpp
@@ -38,6 +38,8 @@
     return "deadline-exceeded";
   case refusal_kind::TooManyConnections:
     return "too-many-connections";
+  case refusal_kind::ShuttingDown:
+    return "shutting-down";
   }
   return "internal";
 }
@@ -78,6 +80,8 @@
     return "try again after the given time";
   case refusal_kind::TooManyConnections:
     return "close idle connections or use another VM";
+  case refusal_kind::ShuttingDown:
+    return "use another VM; this one is about to stop";
   case refusal_kind::TargetFailed:
   case refusal_kind::DeadlineExceeded:
     return "check with the service whether the request ran";
--- /dev/null
+++ b/src/coordination/routing/shutdown_rule.h
@@ -0,0 +1,31 @@
+/// \file
+/// Which requests a VM still accepts while it shuts down.
+#pragma once
+
+#include "state/base/types/instant.h"
+
+namespace peridot {
+
+/// When a VM began to shut down and when its process ends.
+struct shutdown_schedule {
+  instant BeganAt{};
+  instant EndsAt{};
+};
+
+/// How long a request may take.
+struct request_duration {
+  duration Timeout{0}; ///< It gets its final response within this time.
+  duration Typical{0}; ///< Typical latency of its route; zero: unknown.
+};
+
+/// Whether a request that arrives at \p Now gets its response before the
+/// process ends. A request that is accepted and cut off may have run; one that
+/// is refused can be sent to another VM at once.
+///
+/// In the first half of the shutdown, while callers may still hold addresses of
+/// this VM, several times the typical latency is enough. Later only the timeout
+/// counts.
+bool endsBeforeShutdown(const request_duration &Request,
+                        const shutdown_schedule &Shutdown, instant Now);
+
+} // namespace peridot
--- /dev/null
+++ b/src/coordination/routing/tests/shutdown_rule_test.cpp
@@ -0,0 +1,39 @@
+#include "coordination/routing/shutdown_rule.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A shutdown of six seconds.
+struct shutdown_rule_fixture {
+  bool isAccepted(duration After, const request_duration &Request) const {
+    return endsBeforeShutdown(Request, Shutdown, Shutdown.BeganAt + After);
+  }
+
+  shutdown_schedule Shutdown{.BeganAt = instant(100s), .EndsAt = instant(106s)};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(shutdown_rule_fixture,
+                  "endsBeforeShutdown_timeoutFits_acceptedUntilItDoesNot") {
+  CHECK(isAccepted(0s, {.Timeout = 2s}));
+  CHECK(isAccepted(4s, {.Timeout = 2s}));
+  CHECK(!isAccepted(4001ms, {.Timeout = 2s}));
+}
+
+TEST_CASE_FIXTURE(shutdown_rule_fixture,
+                  "endsBeforeShutdown_longTimeoutShortLatency_firstHalfOnly") {
+  const request_duration Request{.Timeout = 8s, .Typical = 200ms};
+  CHECK(isAccepted(1s, Request));
+  CHECK(!isAccepted(3s, Request));
+}
+
+TEST_CASE_FIXTURE(shutdown_rule_fixture,
+                  "endsBeforeShutdown_latencyUnknownOrLong_refused") {
+  CHECK(!isAccepted(1s, {.Timeout = 8s}));
+  CHECK(!isAccepted(1s, {.Timeout = 8s, .Typical = 900ms}));
+}
--- a/src/coordination/routing/types/refusal.h
+++ b/src/coordination/routing/types/refusal.h
@@ -27,6 +27,7 @@
   TargetFailed,
   DeadlineExceeded,
   TooManyConnections,
+  ShuttingDown,
 };
 
 /// Whether a refused request ran, as reported to the caller.
--- a/src/protocol/http/internal/problem_details.cpp
+++ b/src/protocol/http/internal/problem_details.cpp
@@ -40,6 +40,7 @@
   case refusal_kind::NoHealthyTarget:
   case refusal_kind::TargetShed:
   case refusal_kind::TooManyConnections:
+  case refusal_kind::ShuttingDown:
     return 503;
   }
   return 500;
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -272,8 +272,30 @@
 task<bool> caller_session::forward(const admitted_request &Admitted,
                                    snapshot_ptr Snapshot) {
   const request_meters Meters =
+std::optional<refusal>
+caller_session::checkShutdown(const admitted_request &Admitted) const {
+  const auto &Shutdown = Worker.shutdownSchedule();
+  if (!Shutdown)
+    return std::nullopt;
+  const instant Now = bootNow();
+  const request_duration Request{
+      .Timeout = requestTimeout(*Parser, Worker.dialect(), *Admitted.Route),
+      .Typical = Worker.routeStatistics().typicalLatency(*Admitted.Route)};
+  if (endsBeforeShutdown(Request, *Shutdown, Now))
+    return std::nullopt;
+  const auto TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Shutdown->EndsAt - Now);
+  return refusal{.Kind = refusal_kind::ShuttingDown,
+                 .Detail = "this VM stops in " +
+                           std::to_string(TimeLeft.count()) +
+                           " ms, before the request would have ended"};
+}
+
       Worker.metersOf(Admitted, Snapshot->Configuration);
   const instant StartedAt = bootNow();
+  const auto LateRefusal = checkShutdown(Admitted);
+  if (LateRefusal)
+    co_return co_await refuse(*LateRefusal);
   if (Admitted.Account) {
     const rate_decision Rate = co_await takeRate(*Admitted.Account);
     if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -53,6 +53,9 @@
   /// briefly if the VM has requested a share and not received it yet.
   task<rate_decision> takeRate(const client_account &Account);
   task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
+  /// \returns a refusal if the VM is leaving and the request would probably
+  /// not end before.
+  std::optional<refusal> checkShutdown(const admitted_request &Admitted) const;
   task<bool> refuse(const refusal &Refusal);
   void logRefusal(const refusal &Refusal) const;
   /// Reads and discards the rest of a small body, so that the connection can
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -66,16 +66,17 @@
 
 } // namespace
 
-std::chrono::milliseconds
-request_relay::requestTimeout(const route &Route) const {
-  const auto CallerTimeout =
-      readCallerDeadline(Request.get(), Worker.dialect());
+std::chrono::milliseconds requestTimeout(const caller_request_parser &Request,
+                                         const http_dialect &Dialect,
+                                         const route &Route) {
+  const auto CallerTimeout = readCallerDeadline(Request.get(), Dialect);
   return CallerTimeout ? std::min(*CallerTimeout, Route.Deadline)
                        : Route.Deadline;
 }
 
 task<relay_result> request_relay::run(const admitted_request &Admitted) {
-  Deadline = std::chrono::steady_clock::now() + requestTimeout(*Admitted.Route);
+  Deadline = std::chrono::steady_clock::now() +
+             requestTimeout(Request, Worker.dialect(), *Admitted.Route);
   LastRefusal = co_await bufferBody(*Admitted.Route);
   if (LastRefusal || CallerDisconnected)
     co_return relay_result{.Refusal = std::move(LastRefusal),
@@ -189,13 +190,13 @@
          Result.Progress != attempt_progress::Shed && !isTimeout(Result.Error);
 }
 
-const target *request_relay::choose(const admitted_request &Admitted,
 std::size_t request_relay::expectedBytes(const route &Route) const {
   const std::size_t BodyBytes = std::max<std::size_t>(
       BufferedBody.size(), Request.content_length().value_or(0));
   return BodyBytes + Worker.routeStatistics().typicalResponseBytes(Route);
 }
 
+const target *request_relay::choose(const admitted_request &Admitted,
                                     const routing_snapshot &Snapshot) {
   load_balancer *LoadBalancer = Worker.loadBalancer();
   if (!LoadBalancer)
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -31,6 +31,11 @@
   buffer_reservation Reservation;
 };
 
+/// Returns how long the caller and the route's deadline let a request take.
+std::chrono::milliseconds requestTimeout(const caller_request_parser &Request,
+                                         const http_dialect &Dialect,
+                                         const route &Route);
+
 /// Relays one request; each request has its own instance.
 class request_relay {
 public:
@@ -61,26 +66,25 @@
     target_report Report;
     instant OpenedAt{};       ///< When the connection was opened.
     instant HeadReceivedAt{}; ///< When the response head was received.
+    /// Size of the response body, if the target declared it.
+    std::optional<std::uint64_t> ResponseBytes;
     /// Set if the complete response was read and nothing was sent to the
     /// caller.
     std::optional<buffered_response> Buffered;
     /// Keep-alive timeout of the connection, if the target announced one.
     std::optional<std::chrono::seconds> KeepAlive;
-    /// Size of the response body, if the target declared it.
-    std::optional<std::uint64_t> ResponseBytes;
   };
   using target_response_parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  std::chrono::milliseconds requestTimeout(const route &Route) const;
   const target *choose(const admitted_request &Admitted,
                        const routing_snapshot &Snapshot);
+  /// Bytes that the request and its response will transfer, as far as known.
+  std::size_t expectedBytes(const route &Route) const;
   const target *chooseByVerdicts(const admitted_request &Admitted,
                                  const routing_snapshot &Snapshot);
   /// Makes one attempt, logs it and records what it shows about the target.
   task<attempt_result> attemptAndObserve(const target &Target,
-  /// Bytes that the request and its response will transfer, as far as known.
-  std::size_t expectedBytes(const route &Route) const;
                                          const admitted_request &Admitted);
   /// Returns the deadline for the response head of the next attempt.
   std::chrono::steady_clock::time_point
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -160,6 +160,10 @@
   return Rotations[Route.Host + Route.PathPrefix].next(Route.Split);
 }
 
+void traffic_worker::beginLeaving(const shutdown_schedule &Schedule) {
+  asio::post(Loop.context(), [this, Schedule] { ShutdownSchedule = Schedule; });
+}
+
 void traffic_worker::beginShutdown() {
   asio::post(Loop.context(), [this] {
     IsShuttingDown = true;
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -16,13 +16,14 @@
 #include "coordination/load_balancing/load_balancer.h"
 #include "coordination/load_balancing/route_statistics.h"
 #include "coordination/load_balancing/weighted_rotation.h"
+#include "coordination/routing/shutdown_rule.h"
 #include "coordination/routing/types/routing_snapshot.h"
 #include "protocol/http/types/http_dialect.h"
 #include "state/base/types/error.h"
 #include "state/metrics/metrics_registry.h"
 #include "transport/callers/request_meters.h"
-#include "transport/runtime/event_loop.h"
 #include "transport/callers/response_buffers.h"
+#include "transport/runtime/event_loop.h"
 #include "transport/runtime/timer_service.h"
 #include "transport/targets/target_pool.h"
 
@@ -94,6 +95,9 @@
   void addPeerObservations(std::vector<attempt_observation> Observations);
   /// Replaces the settings of the retry budgets. Thread-safe.
   void configureRetries(const retry_budget_options &Retries);
+  /// Refuses requests from now on that would not end before the process does.
+  /// Thread-safe.
+  void beginLeaving(const shutdown_schedule &Schedule);
   /// Stops accepting connections and closes each open one after its current
   /// request. Thread-safe.
   void beginShutdown();
@@ -145,6 +149,10 @@
   boost::asio::io_context &loop() { return Loop.context(); }
   std::uint64_t random() { return Random(); }
   bool isShuttingDown() const { return IsShuttingDown; }
+  /// Empty unless the VM is leaving.
+  const std::optional<shutdown_schedule> &shutdownSchedule() const {
+    return ShutdownSchedule;
+  }
   void connectionOpened() { ++Connections; }
   void connectionClosed() { --Connections; }
 
@@ -187,6 +195,7 @@
   /// Must outlive the loop, whose coroutines hold slots of these queues and
   /// reservations of these buffers.
   std::unique_ptr<service_queues> Queues;
+  response_buffers ResponseBuffers;
   event_loop Loop;
   tcp_acceptor Acceptor;
   timer_service Timers;
@@ -194,4 +203,3 @@
 };
 
 } // namespace peridot
-  response_buffers ResponseBuffers;
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -203,9 +203,12 @@
                     .Name = Settings.Vm.str(),
                     .Cause = "shutdown requested",
                     .Rule = "finish running requests, then exit"});
+  const instant Now = Timers.now();
+  const instant Deadline = Now + Settings.ShutdownLimit;
+  for (const auto &Worker : Workers)
+    Worker->beginLeaving({.BeganAt = Now, .EndsAt = Deadline});
   visitControlPlane([](auto &Plane) { Plane.leave(); });
   asio::steady_timer Timer(Control.context());
-  const instant Deadline = Timers.now() + Settings.ShutdownLimit;
   Timer.expires_after(std::min(
       visitControlPlane([](auto &Plane) { return Plane.addressLifetime(); }),
       Settings.ShutdownLimit / 2));
