End a handler, not the process, when an unexpected error leaves it

Cause: an exception that left a handler on the control thread or on a traffic thread ended the process; one in a periodic task would have ended the task.

--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -106,6 +106,9 @@
     co_await Session.run();
   } catch (const std::exception &Error) {
     Worker.metrics().getOrCreateCounter("peridot_session_errors_total").add();
+    logEvent(log_level::Error, "session-failed",
+             {{"cause", std::string_view(Error.what())},
+              {"rule", "the caller's connection is closed"}});
   }
   Worker.connectionClosed();
 }
@@ -269,9 +272,6 @@
   co_return Rate;
 }
 
-task<bool> caller_session::forward(const admitted_request &Admitted,
-                                   snapshot_ptr Snapshot) {
-  const request_meters Meters =
 std::optional<refusal>
 caller_session::checkShutdown(const admitted_request &Admitted) const {
   const auto &Shutdown = Worker.shutdownSchedule();
@@ -291,11 +291,14 @@
                            " ms, before the request would have ended"};
 }
 
-      Worker.metersOf(Admitted, Snapshot->Configuration);
-  const instant StartedAt = bootNow();
+task<bool> caller_session::forward(const admitted_request &Admitted,
+                                   snapshot_ptr Snapshot) {
   const auto LateRefusal = checkShutdown(Admitted);
   if (LateRefusal)
     co_return co_await refuse(*LateRefusal);
+  const request_meters Meters =
+      Worker.metersOf(Admitted, Snapshot->Configuration);
+  const instant StartedAt = bootNow();
   if (Admitted.Account) {
     const rate_decision Rate = co_await takeRate(*Admitted.Account);
     if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
--- a/src/transport/logging/event_log.h
+++ b/src/transport/logging/event_log.h
@@ -35,6 +35,10 @@
 /// Logs \p Error at level error under \p Event, with kind, message and remedy.
 void logError(std::string_view Event, const error &Error);
 
+/// Logs an exception that left the handler of an event; the handler ends, the
+/// process continues.
+void logHandlerFailure(std::string_view Cause);
+
 /// Logs an automatic decision at level info; its kind is the event name.
 void logDecision(const decision &Decision);
 
--- a/src/transport/logging/internal/event_log.cpp
+++ b/src/transport/logging/internal/event_log.cpp
@@ -135,6 +135,10 @@
     writeEvent(Level, Event, Fields);
 }
 
+void logHandlerFailure(std::string_view Cause) {
+  logEvent(log_level::Error, "handler-failed", {{"cause", Cause}});
+}
+
 void logError(std::string_view Event, const error &Error) {
   logEvent(log_level::Error, Event,
            {{"kind", nameOf(Error.Kind)},
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -87,7 +87,7 @@
   node_settings Settings;
   metrics_registry Metrics;
   std::vector<std::unique_ptr<traffic_worker>> Workers;
-  event_loop Control{"control"};
+  event_loop Control{"control", logHandlerFailure};
   timer_service Timers{Control.context()};
   peer_hub Peers;
   decision_recorder Decisions;
--- a/src/transport/peers/internal/peer_hub.cpp
+++ b/src/transport/peers/internal/peer_hub.cpp
@@ -120,7 +120,8 @@
       co_return;
     }
     for (const peer_frame &Frame : *Frames)
-      deliver(*Sender, Frame);
+      if (!tryDeliver(*Sender, Frame))
+        co_return;
   }
 }
 
@@ -154,6 +155,20 @@
   co_return decodeHello(Body, Options.FleetKey, Challenge);
 }
 
+bool peer_hub::tryDeliver(const peer_hello &Sender, const peer_frame &Frame) {
+  try {
+    deliver(Sender, Frame);
+    return true;
+  } catch (const std::exception &Error) {
+    Metrics.getOrCreateCounter("peridot_peer_refused_total").add();
+    logEvent(log_level::Error, "peer-message-failed",
+             {{"sender", Sender.Sender.Vm.view()},
+              {"subject", nameOf(Frame.Subject)},
+              {"cause", std::string_view(Error.what())}});
+    return false;
+  }
+}
+
 void peer_hub::deliver(const peer_hello &Sender, const peer_frame &Frame) {
   incarnation &NewestIncarnation = NewestIncarnations[Sender.Sender.Vm];
   if (Sender.Sender.Incarnation < NewestIncarnation) {
--- a/src/transport/peers/peer_hub.h
+++ b/src/transport/peers/peer_hub.h
@@ -77,6 +77,9 @@
   task<result<peer_hello>> receiveHello(tcp_stream &Stream,
                                         const link_challenge &Challenge);
   void deliver(const peer_hello &Sender, const peer_frame &Frame);
+  /// Delivers a frame. \returns false if its handler failed unexpectedly; the
+  /// link is closed then.
+  bool tryDeliver(const peer_hello &Sender, const peer_frame &Frame);
 
   boost::asio::io_context &Loop;
   peer_options Options;
--- a/src/transport/runtime/event_loop.h
+++ b/src/transport/runtime/event_loop.h
@@ -2,7 +2,9 @@
 /// Thread that runs one Asio event loop.
 #pragma once
 
+#include <functional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -10,12 +12,16 @@
 
 namespace peridot {
 
-/// Starts its thread on construction; stops and joins it on destruction.
+/// Starts its thread on construction; stops and joins it on destruction. An
+/// exception that leaves a handler ends that handler only.
 class event_loop {
 public:
+  /// Called on the loop's thread with the text of an exception.
+  using error_callback = std::function<void(std::string_view Cause)>;
+
   /// \param Name thread name shown by the operating system; cut off after 15
   ///        characters.
-  explicit event_loop(const std::string &Name);
+  event_loop(const std::string &Name, error_callback OnError);
   ~event_loop();
   event_loop(const event_loop &) = delete;
   event_loop &operator=(const event_loop &) = delete;
@@ -25,6 +31,9 @@
   void stop();
 
 private:
+  void run();
+
+  error_callback OnError;
   boost::asio::io_context Context{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       WorkGuard{Context.get_executor()};
--- a/src/transport/runtime/internal/timer_service.cpp
+++ b/src/transport/runtime/internal/timer_service.cpp
@@ -38,9 +38,10 @@
 }
 
 void timer_subscription::state::fire(const std::shared_ptr<state> &Self) {
-  Self->Callback(bootNow());
-  if (Self->IsRepeating && !Self->IsCancelled)
+  // Armed first, so that an exception does not end a repeating timer.
+  if (Self->IsRepeating)
     arm(Self);
+  Self->Callback(bootNow());
 }
 
 timer_subscription::timer_subscription(std::shared_ptr<state> SubscriptionState)
