Let few VMs of a data centre take over from its watchers

Cause: a VM that heard of no available watcher read and watched the store at once, as did all others of its data centre: after a start of all VMs, after the end of both watchers, and in each outage, with about 29 calls a second from 60 VMs (worked out from the periods). Change: a VM waits for 100 ms times the square root of its rank, after its start 400 ms more, as the list of VMs is incomplete then. While the store is away, the four VMs that rank first check it, and two more with each second, in case that it is away for just these.

--- a/src/coordination/registry/internal/watcher_election.cpp
+++ b/src/coordination/registry/internal/watcher_election.cpp
@@ -1,6 +1,7 @@
 #include "coordination/registry/watcher_election.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridot {
 
@@ -13,19 +14,55 @@
 
 void watcher_election::recordReport(const vm_name &Vm,
                                     const watcher_report &Report, instant Now) {
-  if (std::ranges::find(Order, Vm) != Order.end())
-    Reports[Vm] = {.StoreResponds = Report.StoreResponds, .ReceivedAt = Now};
+  if (std::ranges::find(Order, Vm) == Order.end())
+    return;
+  Reports[Vm] = {.StoreResponds = Report.StoreResponds, .ReceivedAt = Now};
+  HasReceivedReport = true;
 }
 
-bool watcher_election::isAvailable(const vm_name &Vm, instant Now) const {
+bool watcher_election::isReporting(const vm_name &Vm, instant Now) const {
   const auto Found = Reports.find(Vm);
-  return Found != Reports.end() && Found->second.StoreResponds &&
+  return Found != Reports.end() &&
          Now - Found->second.ReceivedAt < Options.SilenceLimit;
 }
 
+bool watcher_election::isAvailable(const vm_name &Vm, instant Now) const {
+  return isReporting(Vm, Now) && Reports.at(Vm).StoreResponds;
+}
+
+std::span<const vm_name> watcher_election::rankedBefore() const {
+  return {Order.begin(), std::ranges::find(Order, Self)};
+}
+
+duration watcher_election::takeoverDelay(instant Now) const {
+  const std::size_t Rank = rankedBefore().size();
+  if (!watchers(Now).empty())
+    return Options.Stagger * static_cast<duration::rep>(Rank);
+  const auto Delay = std::chrono::duration_cast<duration>(
+      Options.TakeoverStagger * std::sqrt(Rank));
+  return HasReceivedReport ? Delay : Delay + Options.StartDelay;
+}
+
+std::optional<duration> watcher_election::timeToTakeover(instant Now) const {
+  if (!TooFewSince)
+    return std::nullopt;
+  const duration TimeLeft = *TooFewSince + takeoverDelay(Now) - Now;
+  return TimeLeft > duration{0} ? std::optional(TimeLeft) : std::nullopt;
+}
+
+bool watcher_election::isCheckedByOthers(duration Waited, instant Now) const {
+  const std::span<const vm_name> Before = rankedBefore();
+  const auto Checkers = static_cast<std::size_t>(std::ranges::count_if(
+      Before, [&](auto &Each) { return isReporting(Each, Now); }));
+  const auto Seconds = static_cast<std::size_t>(
+      std::chrono::floor<std::chrono::seconds>(Waited).count());
+  return watchers(Now).empty() && Checkers >= Options.CheckerCount &&
+         Before.size() >=
+             Options.CheckerCount + Seconds * Options.CheckersPerSecond;
+}
+
 bool watcher_election::shouldSelfWatch(instant Now) {
-  const auto Own = std::ranges::find(Order, Self);
-  const std::span<const vm_name> Before(Order.begin(), Own);
+  const std::span<const vm_name> Before = rankedBefore();
   const auto Available = static_cast<std::size_t>(std::ranges::count_if(
       Before, [&](auto &Each) { return isAvailable(Each, Now); }));
   if (Available >= Options.WatcherCount) {
@@ -34,10 +71,10 @@
   }
   if (!TooFewSince)
     TooFewSince = Now;
-  if (watchers(Now).empty())
-    return true;
-  return Now - *TooFewSince >=
-         Options.Stagger * static_cast<duration::rep>(Before.size());
+  const duration Waited = Now - *TooFewSince;
+  if (isCheckedByOthers(Waited, Now))
+    return false;
+  return Waited >= takeoverDelay(Now);
 }
 
 std::vector<vm_name> watcher_election::watchers(instant Now) const {
@@ -51,10 +88,8 @@
 duration watcher_election::storeCheckPeriod(instant Now) const {
   if (!watchers(Now).empty())
     return Options.CheckPeriodWhileOthersWatch;
-  const auto Own = std::ranges::find(Order, Self);
-  const auto Rank =
-      Own == Order.end() ? 0 : static_cast<std::size_t>(Own - Order.begin());
-  if (Rank < Options.WatcherCount)
+  const std::size_t Rank = rankedBefore().size();
+  if (Rank < Options.WatcherCount || Rank == Order.size())
     return Options.CheckPeriod;
   const auto After =
       static_cast<duration::rep>(Rank - Options.WatcherCount + 1);
--- a/src/coordination/registry/watcher_election.h
+++ b/src/coordination/registry/watcher_election.h
@@ -24,6 +24,18 @@
   /// While at least one other watcher is available, a VM waits this long for
   /// each VM ranked before it, then replaces a lost watcher.
   duration Stagger = std::chrono::milliseconds(300);
+  /// Added to the wait of a VM that has received no report since its start:
+  /// after a start of all VMs it does not know the ranking yet.
+  duration StartDelay = std::chrono::milliseconds(400);
+  /// While no watcher is available, a VM waits this long, multiplied by the
+  /// square root of the number of VMs ranked before it. So a few VMs take over
+  /// and not all at once, and none waits long.
+  duration TakeoverStagger = std::chrono::milliseconds(100);
+  /// While the store is unavailable to all watchers, only the VMs ranked first
+  /// check whether it has returned. Their number grows with each second, in
+  /// case that it is unavailable to just these.
+  std::size_t CheckerCount = 4;
+  std::size_t CheckersPerSecond = 2;
   /// Time between two checks by a watcher whether the store is available again.
   duration CheckPeriod = std::chrono::milliseconds(400);
   /// Added to the period once for each rank of a VM below the watchers.
@@ -51,6 +63,9 @@
 
   /// Whether this VM should watch the store itself.
   bool shouldSelfWatch(instant Now);
+  /// Returns after which time shouldSelfWatch() may change without a report;
+  /// nullopt if it waits for none.
+  std::optional<duration> timeToTakeover(instant Now) const;
   /// Returns the other VMs that recently reported the store as available, by
   /// rank.
   std::vector<vm_name> watchers(instant Now) const;
@@ -67,12 +82,22 @@
     instant ReceivedAt{};
   };
 
+  bool isReporting(const vm_name &Vm, instant Now) const;
   bool isAvailable(const vm_name &Vm, instant Now) const;
+  /// Returns the VMs ranked before this one.
+  std::span<const vm_name> rankedBefore() const;
+  /// Whether an outage of the store, which has lasted for \p Waited, is left to
+  /// other VMs that check for its end.
+  bool isCheckedByOthers(duration Waited, instant Now) const;
+  /// Returns how long too few watchers must have been available until this VM
+  /// takes over.
+  duration takeoverDelay(instant Now) const;
 
   vm_name Self;
   watcher_options Options;
   std::vector<vm_name> Order;
   std::map<vm_name, received_report> Reports;
+  bool HasReceivedReport = false; ///< Since the start.
   /// When the number of watchers ranked before this VM became too small.
   std::optional<instant> TooFewSince;
 };
