Read collections from watchers, and relay changes as differences

Each list of a watcher, also one without changes, moved its position, which made all others list. Change: watchers relay changes of the list of VMs too. Reports carry the position of the last change, which is the same for equal copies. Relayed documents are compressed with zstd against the text that they replace. The fleet key is read from the list of VMs; few VMs create it. Tests that waited until a VM off the store noticed now stop the watchers first, as such a VM makes no calls otherwise; they check as much.

--- a/src/coordination/registry/collection_sync.h
+++ b/src/coordination/registry/collection_sync.h
@@ -35,7 +35,7 @@
 };
 
 /// Range of store history that another VM has read: all changes after one
-/// position up to another.
+/// position, usually that of the last earlier change, up to another.
 struct relayed_range {
   std::uint64_t After = 0;
   std::uint64_t Position = 0;
@@ -61,17 +61,25 @@
   bool accepts(std::uint64_t Reached) const {
     return !Position || Reached >= *Position;
   }
-  /// Records that a list or watch brought the copy up to \p Reached.
+  /// Records that a list or watch brought the copy up to \p Reached, and
+  /// whether that changed it.
   void recordPosition(std::uint64_t Reached, bool Changed);
   /// Decides whether to apply relayed changes. If the result is Apply, they
   /// count as applied.
   relay_decision acceptRelayed(const relayed_range &Range);
-  /// Records that another VM has read up to \p Reached. The relayed changes may
-  /// still be in transit.
-  void recordPeerPosition(std::uint64_t Reached);
-  /// Records that the store has changes which no watch delivered.
+  /// Whether to replace the copy by a snapshot that another VM has sent. If so,
+  /// the copy counts as complete up to \p Reached.
+  /// \param LastChange position of the last change in the snapshot.
+  bool acceptSnapshot(std::uint64_t Reached, std::uint64_t LastChange);
+  /// Records that another VM knows of a change at \p LastChange. The relayed
+  /// change may still be in transit.
+  void recordPeerChange(std::uint64_t LastChange);
+  /// Records that there are changes which were not delivered or cannot be
+  /// decoded.
   void recordUndelivered() { HasGap |= Position.has_value(); }
-  /// Checks that the changes which other VMs had read by the previous call have
+  /// Whether changes are known to be missing from an existing copy.
+  bool hasGap() const { return HasGap; }
+  /// Checks that the changes which other VMs knew of by the previous call have
   /// arrived by now. Must be called periodically.
   void compareWithPeers();
   /// Whether the collection must be listed before further changes can be
@@ -80,6 +88,9 @@
   /// \returns the position up to which the copy is complete; 0 if there is no
   /// copy.
   std::uint64_t position() const { return Position.value_or(0); }
+  /// \returns the position of the last change in the copy. Unlike position(),
+  /// it is the same for all VMs with the same copy, whenever they read it.
+  std::uint64_t lastChange() const { return LastChange; }
   /// Records that the store no longer has the history after the position.
   void recordHistoryGone();
   void setMaxRetryDelay(duration MaxDelay) { Options.MaxRetryDelay = MaxDelay; }
@@ -92,14 +103,15 @@
 private:
   sync_options Options;
   std::optional<std::uint64_t> Position;
+  std::uint64_t LastChange = 0;
   duration Pause{0};
   unsigned Failures = 0;
   /// Whether changes are known to be missing from the copy.
   bool HasGap = false;
-  /// Highest position that other VMs have read.
-  std::uint64_t PeerPosition = 0;
-  /// PeerPosition at the last comparison.
-  std::uint64_t ExpectedPosition = 0;
+  /// Last change that other VMs know of.
+  std::uint64_t PeerChange = 0;
+  /// PeerChange at the last comparison.
+  std::uint64_t ExpectedChange = 0;
 };
 
 } // namespace peridot
--- a/src/coordination/registry/internal/collection_sync.cpp
+++ b/src/coordination/registry/internal/collection_sync.cpp
@@ -18,6 +18,8 @@
 void collection_sync::recordPosition(std::uint64_t Reached, bool Changed) {
   const bool IsList = needsList();
   Position = Reached;
+  if (Changed)
+    LastChange = Reached;
   Failures = 0;
   HasGap = false;
   Pause = Changed && !IsList ? Options.BatchDelay : duration{0};
@@ -31,16 +33,27 @@
   if (Range.Position <= *Position)
     return relay_decision::Known;
   Position = Range.Position;
+  LastChange = Range.Position;
   return relay_decision::Apply;
 }
 
-void collection_sync::recordPeerPosition(std::uint64_t Reached) {
-  PeerPosition = std::max(PeerPosition, Reached);
+bool collection_sync::acceptSnapshot(std::uint64_t Reached,
+                                     std::uint64_t SnapshotChange) {
+  if (!accepts(Reached))
+    return false;
+  Position = Reached;
+  LastChange = SnapshotChange;
+  HasGap = false;
+  return true;
+}
+
+void collection_sync::recordPeerChange(std::uint64_t Change) {
+  PeerChange = std::max(PeerChange, Change);
 }
 
 void collection_sync::compareWithPeers() {
-  HasGap |= Position && ExpectedPosition > *Position;
-  ExpectedPosition = PeerPosition;
+  HasGap |= Position && ExpectedChange > *Position;
+  ExpectedChange = PeerChange;
 }
 
 void collection_sync::recordHistoryGone() {
--- a/src/coordination/registry/tests/collection_sync_test.cpp
+++ b/src/coordination/registry/tests/collection_sync_test.cpp
@@ -86,7 +86,7 @@
 TEST_CASE_FIXTURE(collection_sync_fixture,
                   "compareWithPeers_peersStayAhead_lists") {
   Sync.recordPosition(7, true);
-  Sync.recordPeerPosition(8);
+  Sync.recordPeerChange(8);
   Sync.compareWithPeers();
   CHECK(!Sync.needsList());
   Sync.compareWithPeers();
@@ -99,7 +99,7 @@
 TEST_CASE_FIXTURE(collection_sync_fixture,
                   "compareWithPeers_changesArrived_keepsWatching") {
   Sync.recordPosition(7, true);
-  Sync.recordPeerPosition(8);
+  Sync.recordPeerChange(8);
   Sync.compareWithPeers();
   CHECK(Sync.acceptRelayed({.After = 7, .Position = 8}) ==
         relay_decision::Apply);
@@ -112,3 +112,30 @@
   CHECK(Sync.accepts(7));
   CHECK(!Sync.accepts(6));
 }
+
+// Guards against VMs that list again and again because each list moves their
+// positions, although nothing has changed.
+TEST_CASE_FIXTURE(collection_sync_fixture,
+                  "lastChange_readWithoutChanges_staysTheSame") {
+  Sync.recordPosition(7, true);
+  Sync.recordPosition(9, false);
+  CHECK(Sync.position() == 9);
+  CHECK(Sync.lastChange() == 7);
+  collection_sync Other;
+  Other.recordPosition(8, false);
+  Other.recordPeerChange(Sync.lastChange());
+  Other.compareWithPeers();
+  Other.compareWithPeers();
+  CHECK(!Other.needsList());
+}
+
+TEST_CASE_FIXTURE(collection_sync_fixture,
+                  "acceptSnapshot_copyIncomplete_completeUpToSnapshot") {
+  CHECK(Sync.acceptRelayed({.After = 5, .Position = 9}) ==
+        relay_decision::Missing);
+  CHECK(Sync.acceptSnapshot(12, 9));
+  CHECK(!Sync.needsList());
+  CHECK(Sync.position() == 12);
+  CHECK(Sync.lastChange() == 9);
+  CHECK(!Sync.acceptSnapshot(11, 9));
+}
--- a/src/coordination/registry/types/store_messages.h
+++ b/src/coordination/registry/types/store_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -11,12 +12,21 @@
 
 namespace peridot {
 
-/// Sent by a watcher after each successful watch, even without changes, so that
-/// the ranges are contiguous.
+/// A document of the store in compressed form.
+struct packed_document {
+  std::uint32_t Size = 0; ///< Of the document, in bytes.
+  /// Entry whose earlier text the compressed form refers to, and the hash of
+  /// that text; 0: it refers to none.
+  std::string BaseName;
+  std::uint64_t BaseHash = 0;
+  std::string Bytes;
+};
+
+/// Sent by a watcher when its watch returns changes.
 struct store_changes {
   fleet_collection Collection = fleet_collection::Configuration;
   relayed_range Range;
-  std::string Document; ///< Unmodified response of the store.
+  packed_document Document; ///< Response of the store.
 };
 
 /// Sent periodically by a watcher.
@@ -25,9 +35,10 @@
   /// For how long the store has responded without interruption.
   std::chrono::milliseconds RespondingFor{0};
   std::uint64_t Revision = 0; ///< Of the configuration in force.
-  /// Positions up to which the watcher has read the collections.
-  std::uint64_t ConfigurationPosition = 0;
-  std::uint64_t TargetsPosition = 0;
+  /// Positions of the last changes that the watcher knows of.
+  std::uint64_t ConfigurationChange = 0;
+  std::uint64_t TargetsChange = 0;
+  std::uint64_t VmsChange = 0;
 };
 
 /// Requests the age of a watcher's last confirmation of the configuration.
@@ -42,10 +53,25 @@
   std::chrono::milliseconds Age{0};
   /// Revision of the configuration in force at the watcher.
   std::uint64_t Revision = 0;
-  std::uint64_t TargetsPosition = 0;
+  std::uint64_t TargetsChange = 0; ///< Position of the last change of a target.
+};
+
+/// Requests a whole collection from a watcher, which spares a call to the
+/// store.
+struct snapshot_request {
+  fleet_collection Collection = fleet_collection::Configuration;
+};
+
+/// Response of a watcher that has recently reached the store.
+struct store_snapshot {
+  fleet_collection Collection = fleet_collection::Configuration;
+  std::uint64_t Position = 0;
+  std::uint64_t LastChange = 0; ///< Position of the last change up to Position.
+  packed_document Document;     ///< All entries, as the store lists them.
 };
 
-using store_message = std::variant<store_changes, watcher_report,
-                                   confirmation_request, confirmation_response>;
+using store_message =
+    std::variant<store_changes, watcher_report, confirmation_request,
+                 confirmation_response, snapshot_request, store_snapshot>;
 
 } // namespace peridot
--- a/src/protocol/store_messages/tests/store_codec_test.cpp
+++ b/src/protocol/store_messages/tests/store_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "protocol/store_messages/store_codec.h"
 
+#include <array>
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -18,14 +20,34 @@
 } // namespace
 
 TEST_CASE("storeCodec_storeChanges_roundTrip") {
-  const auto Decoded =
-      roundTrip(store_changes{.Collection = fleet_collection::Targets,
-                              .Range = {.After = 7, .Position = 9},
-                              .Document = "{}"});
+  const auto Decoded = roundTrip(store_changes{
+      .Collection = fleet_collection::Targets,
+      .Range = {.After = 7, .Position = 9},
+      .Document = {
+          .Size = 9, .BaseName = "main", .BaseHash = 77, .Bytes = "packed"}});
   CHECK(Decoded.Collection == fleet_collection::Targets);
   CHECK(Decoded.Range.After == 7);
   CHECK(Decoded.Range.Position == 9);
-  CHECK(Decoded.Document == "{}");
+  CHECK(Decoded.Document.Size == 9);
+  CHECK(Decoded.Document.BaseName == "main");
+  CHECK(Decoded.Document.BaseHash == 77);
+  CHECK(Decoded.Document.Bytes == "packed");
+}
+
+TEST_CASE("storeCodec_snapshotRequestAndSnapshot_roundTrip") {
+  CHECK(roundTrip(snapshot_request{.Collection = fleet_collection::Vms})
+            .Collection == fleet_collection::Vms);
+  const auto Decoded =
+      roundTrip(store_snapshot{.Collection = fleet_collection::Targets,
+                               .Position = 31,
+                               .LastChange = 29,
+                               .Document = {.Size = 5, .Bytes = "packed"}});
+  CHECK(Decoded.Collection == fleet_collection::Targets);
+  CHECK(Decoded.Position == 31);
+  CHECK(Decoded.LastChange == 29);
+  CHECK(Decoded.Document.Size == 5);
+  CHECK(Decoded.Document.BaseHash == 0);
+  CHECK(Decoded.Document.Bytes == "packed");
 }
 
 TEST_CASE("storeCodec_watcherReport_roundTrips") {
@@ -33,13 +55,15 @@
       watcher_report{.StoreResponds = true,
                      .RespondingFor = std::chrono::milliseconds(1'500),
                      .Revision = 12,
-                     .ConfigurationPosition = 4,
-                     .TargetsPosition = 5});
+                     .ConfigurationChange = 4,
+                     .TargetsChange = 5,
+                     .VmsChange = 6});
   CHECK(Decoded.StoreResponds);
   CHECK(Decoded.RespondingFor == std::chrono::milliseconds(1'500));
   CHECK(Decoded.Revision == 12);
-  CHECK(Decoded.ConfigurationPosition == 4);
-  CHECK(Decoded.TargetsPosition == 5);
+  CHECK(Decoded.ConfigurationChange == 4);
+  CHECK(Decoded.TargetsChange == 5);
+  CHECK(Decoded.VmsChange == 6);
 }
 
 TEST_CASE("storeCodec_confirmationRequestAndResponse_roundTrip") {
@@ -48,16 +72,20 @@
       roundTrip(confirmation_response{.Number = 3,
                                       .Age = std::chrono::milliseconds(250),
                                       .Revision = 12,
-                                      .TargetsPosition = 40});
+                                      .TargetsChange = 40});
   CHECK(Decoded.Age == std::chrono::milliseconds(250));
   CHECK(Decoded.Revision == 12);
-  CHECK(Decoded.TargetsPosition == 40);
+  CHECK(Decoded.TargetsChange == 40);
 }
 
 TEST_CASE("storeCodec_unknownCollection_refused") {
-  const store_message Message =
-      store_changes{.Collection = static_cast<fleet_collection>(9)};
-  CHECK(!decodeStoreMessage(encodeStoreMessage(Message)).has_value());
+  constexpr auto Unknown = static_cast<fleet_collection>(9);
+  const std::array<store_message, 3> Messages{
+      store_changes{.Collection = Unknown},
+      snapshot_request{.Collection = Unknown},
+      store_snapshot{.Collection = Unknown}};
+  for (const store_message &Each : Messages)
+    CHECK(!decodeStoreMessage(encodeStoreMessage(Each)).has_value());
 }
 
 TEST_CASE("storeCodec_randomBytes_decodedOrRefusedWithoutCrash") {
--- a/src/state/base/hashing.h
+++ b/src/state/base/hashing.h
@@ -21,6 +21,10 @@
 /// reveal where they differ.
 bool equalInConstantTime(std::string_view Left, std::string_view Right);
 
+/// Returns a fast hash that identifies a text; it is no protection against
+/// texts made to collide.
+std::uint64_t contentHash(std::string_view Text);
+
 /// Returns the rendezvous-hashing weight of \p Candidate for \p Subject. The
 /// candidate with the highest weight is selected.
 std::uint64_t rendezvousWeight(std::string_view Subject,
--- a/src/state/base/internal/hashing.cpp
+++ b/src/state/base/internal/hashing.cpp
@@ -30,6 +30,10 @@
          CRYPTO_memcmp(Left.data(), Right.data(), Left.size()) == 0;
 }
 
+std::uint64_t contentHash(std::string_view Text) {
+  return XXH64(Text.data(), Text.size(), 0);
+}
+
 std::uint64_t rendezvousWeight(std::string_view Subject,
                                std::string_view Candidate) {
   const XXH64_hash_t Seed = XXH64(Subject.data(), Subject.size(), 0);
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -38,9 +38,10 @@
 /// target may be closing a connection that was idle for longer.
 constexpr std::chrono::seconds UnrepeatableIdleLimit{3};
 
-/// Reading configuration and targets takes some round trips. Requests that
-/// arrive earlier wait for this long, as they could only be refused.
-constexpr std::chrono::milliseconds StartupTimeout{800};
+/// A VM learns configuration and targets from others, or waits for their
+/// silence and reads the store. Requests that arrive earlier wait for this long,
+/// as they could only be refused; callers give up after about a second.
+constexpr std::chrono::milliseconds StartupTimeout{950};
 
 constexpr std::size_t RequestBufferBytes = 512U << 10U;
 constexpr response_buffer_limits ResponseBuffers{
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -1,6 +1,8 @@
 #include "transport/node/internal/store_control.h"
 
+#include <algorithm>
 #include <array>
+#include <random>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,6 +22,11 @@
 
 constexpr std::chrono::milliseconds InitialJoinRetryDelay{200};
 constexpr std::chrono::milliseconds MaxJoinRetryDelay{1'600};
+/// Maximum time for which a VM waits to read the fleet key.
+constexpr std::chrono::milliseconds MaxFleetKeyWait{800};
+/// The largest of so many random draws is used, so that at the first start of a
+/// fleet a few VMs create the key and the others have read it by then.
+constexpr int FleetKeyWaitDraws = 4;
 /// Some callers use an address response for this many times its time to live.
 constexpr int AddressLifetimeFactor = 3;
 
@@ -40,6 +47,15 @@
   return Key;
 }
 
+std::chrono::milliseconds drawFleetKeyWait() {
+  std::random_device Random;
+  std::chrono::milliseconds Longest{0};
+  for (int Draw = 0; Draw < FleetKeyWaitDraws; ++Draw)
+    Longest = std::max(
+        Longest, std::chrono::milliseconds(Random() % MaxFleetKeyWait.count()));
+  return Longest;
+}
+
 } // namespace
 
 store_control::store_control(node_services &Services)
@@ -50,7 +66,14 @@
       Hosting(Services),
       Follower(
           Services, Store,
+          {.RequestSnapshot =
+               [this](fleet_collection Collection) {
+                 return Relay.requestSnapshot(Collection);
+               },
+           .HasWatchers = [this] { return Relay.hasWatchers(); },
+           .IsOutageReported = [this] { return Relay.isOutageReported(); }},
           [this](const store_items &Items, bool IsList) {
+            findFleetKey(Items);
             Hosting.apply(Items, IsList);
             Relay.setRanking(Hosting.ranking());
           },
@@ -85,7 +108,8 @@
   Hosting.start();
   Relay.start();
   Follower.start();
-  asio::co_spawn(Services.Loop, join(), asio::detached);
+  asio::co_spawn(Services.Loop, registerSelf(), asio::detached);
+  asio::co_spawn(Services.Loop, obtainFleetKey(), asio::detached);
 }
 
 traffic_hooks store_control::hooks() {
@@ -102,7 +126,36 @@
   return Hooks;
 }
 
-task<void> store_control::join() {
+void store_control::findFleetKey(const store_items &Items) {
+  for (const store_item &Item : Items.Items)
+    if (const auto *Key = std::get_if<fleet_key>(&Item.Content))
+      setFleetKey(*Key);
+}
+
+void store_control::setFleetKey(const fleet_key &Key) {
+  Services.Peers.setFleetKey(Key.Key);
+  IsFleetKeyKnown = true;
+}
+
+task<void> store_control::obtainFleetKey() {
+  asio::steady_timer Timer(Services.Loop);
+  std::chrono::milliseconds Delay = drawFleetKeyWait();
+  while (true) {
+    Timer.expires_after(Delay);
+    co_await Timer.async_wait(UseTaskTuple);
+    if (IsFleetKeyKnown)
+      co_return;
+    const auto Key = co_await Store.GetOrCreateFleetKey(generateFleetKey());
+    if (Key) {
+      setFleetKey(*Key);
+      co_return;
+    }
+    logError("fleet-key-unknown", Key.error());
+    Delay = std::clamp(Delay * 2, InitialJoinRetryDelay, MaxJoinRetryDelay);
+  }
+}
+
+task<void> store_control::registerSelf() {
   const node_settings &Settings = Services.Settings;
   const registered_vm Self{.Vm = Settings.Vm,
                            .DataCenter = Settings.DataCenter,
@@ -115,16 +168,10 @@
   asio::steady_timer RetryTimer(Services.Loop);
   std::chrono::milliseconds RetryDelay = InitialJoinRetryDelay;
   while (true) {
-    const auto Key = co_await Store.GetOrCreateFleetKey(generateFleetKey());
-    if (Key) {
-      Services.Peers.setFleetKey(Key->Key);
-      const auto Registered = co_await Store.Register(Self);
-      if (Registered)
-        break;
-      logError("registration-failed", Registered.error());
-    } else {
-      logError("fleet-key-unknown", Key.error());
-    }
+    const auto Registered = co_await Store.Register(Self);
+    if (Registered)
+      break;
+    logError("registration-failed", Registered.error());
     RetryTimer.expires_after(RetryDelay);
     co_await RetryTimer.async_wait(UseTaskTuple);
     RetryDelay = std::min(MaxJoinRetryDelay, RetryDelay * 2);
--- a/src/transport/node/internal/store_control.h
+++ b/src/transport/node/internal/store_control.h
@@ -30,8 +30,12 @@
   std::chrono::milliseconds addressLifetime() const;
 
 private:
-  /// Obtains the fleet key and registers this VM, with retries.
-  task<void> join();
+  /// Sets the fleet key if it is among the entries of the VMs.
+  void findFleetKey(const store_items &Items);
+  void setFleetKey(const fleet_key &Key);
+  /// Creates the fleet key unless it is read from the store first.
+  task<void> obtainFleetKey();
+  task<void> registerSelf();
   task<void> unregister();
   operator_response respond(const operator_request &Request) const;
 
@@ -43,6 +47,7 @@
   store_relay Relay;
   operator_server Directory;
   operator_server Readiness;
+  bool IsFleetKeyKnown = false;
 };
 
 } // namespace peridot
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -22,40 +22,20 @@
 /// Number of consecutive failures after which the store counts as unreachable.
 constexpr unsigned FailuresUntilUnreachable = 2;
 
-std::string_view nameOf(fleet_collection Collection) {
-  switch (Collection) {
-  case fleet_collection::Configuration:
-    return "configuration";
-  case fleet_collection::Targets:
-    return "targets";
-  case fleet_collection::Vms:
-    return "vms";
-  }
-  return "unknown";
-}
-
-/// A stale list of VMs is acceptable, because the VMs' own reports show which
-/// of them are present.
-read_freshness freshnessFor(fleet_collection Collection) {
-  return Collection == fleet_collection::Vms ? read_freshness::MayBeStale
-                                             : read_freshness::Current;
-}
-
 } // namespace
 
 store_follower::store_follower(node_services &Services, fleet_store &Store,
-                               vms_callback OnVms, changes_callback OnChanges,
-                               read_callback OnRead)
-    : Services(Services), Store(Store), OnVms(std::move(OnVms)),
-      OnChanges(std::move(OnChanges)), OnRead(std::move(OnRead)),
-      WakeTimer(Services.Loop), RetryTimer(Services.Loop), Targets(Services) {
+                               follower_peers Peers, vms_callback OnVms,
+                               changes_callback OnChanges, read_callback OnRead)
+    : Services(Services), Store(Store), Peers(std::move(Peers)),
+      OnVms(std::move(OnVms)), OnChanges(std::move(OnChanges)),
+      OnRead(std::move(OnRead)), Archive(Store), WakeTimer(Services.Loop),
+      RetryTimer(Services.Loop), Targets(Services) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
 void store_follower::start() {
-  for (const fleet_collection Each :
-       {fleet_collection::Configuration, fleet_collection::Targets,
-        fleet_collection::Vms})
+  for (const fleet_collection Each : AllCollections)
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
   Targets.start();
   CompareTimer = Services.Timers.every(ComparePeriod,
@@ -75,15 +55,28 @@
   WakeTimer.cancel();
 }
 
+fleet_collection store_follower::probedCollection() const {
+  return position(fleet_collection::Vms) == 0 ? fleet_collection::Vms
+                                              : fleet_collection::Configuration;
+}
+
+read_freshness store_follower::freshnessFor(fleet_collection Collection) const {
+  // A first list of VMs may be stale, because the VMs' own reports show which
+  // of them are present, and watchers relay what it lacks.
+  const bool MayBeStale = Collection == fleet_collection::Vms && !IsWatcher &&
+                          !syncOf(Collection).hasGap();
+  return MayBeStale ? read_freshness::MayBeStale : read_freshness::Current;
+}
+
 bool store_follower::shouldQuery(fleet_collection Collection) const {
-  // Every VM needs the list of VMs to find the others. A read that may be stale
-  // is cheap.
-  if (Collection == fleet_collection::Vms)
-    return IsReachable;
   // While the store is unreachable, only one collection is retried.
   if (!IsReachable)
-    return Collection == fleet_collection::Configuration;
-  return IsWatcher || syncOf(Collection).needsList();
+    return Collection == probedCollection() &&
+           (IsWatcher || !Peers.IsOutageReported());
+  if (IsWatcher || syncOf(Collection).needsList())
+    return true;
+  // Until watchers relay changes, the list of VMs shows whom to ask.
+  return Collection == fleet_collection::Vms && !Peers.HasWatchers();
 }
 
 task<void> store_follower::waitUntilQueryNeeded(fleet_collection Collection) {
@@ -96,6 +89,16 @@
   collection_sync &Progress = syncOf(Collection);
   while (true) {
     co_await waitUntilQueryNeeded(Collection);
+    if (shouldAskPeers(Collection)) {
+      const bool HadWatchers = Peers.HasWatchers();
+      bool HasArrived = co_await fetchFromPeers(Collection);
+      // The next request goes to another watcher.
+      if (!HasArrived && HadWatchers)
+        HasArrived = co_await fetchFromPeers(Collection);
+      // Without an available watcher, this VM or another one takes over soon.
+      if (HasArrived || (!IsWatcher && !HadWatchers))
+        continue;
+    }
     const sync_step Step = Progress.next();
     if (const auto *Pause = std::get_if<pause_step>(&Step)) {
       asio::steady_timer &Timer = IsReachable ? Delay : RetryTimer;
@@ -105,7 +108,7 @@
     }
     bool &IsWatchRunning = IsWatching[static_cast<std::size_t>(Collection)];
     IsWatchRunning = std::holds_alternative<watch_step>(Step);
-    const bool Succeeded = co_await execute(Collection, Step);
+    const bool Succeeded = co_await tryExecute(Collection, Step);
     IsWatchRunning = false;
     if (!Succeeded)
       Progress.recordFailure();
@@ -116,46 +119,18 @@
   }
 }
 
-void store_follower::recordStorePosition(std::uint64_t Position) {
-  StorePosition = std::max(StorePosition, Position);
-}
-
-void store_follower::compareWithStore() {
-  std::uint64_t Highest = 0;
-  for (const collection_sync &Each : Sync)
-    Highest = std::max(Highest, Each.position());
-  // A change of another collection moves the position of that collection.
-  if (IsWatcher && ExpectedStorePosition > Highest)
-    syncOf(fleet_collection::Targets).recordUndelivered();
-  ExpectedStorePosition = StorePosition;
-}
-
-void store_follower::compareWithPeers() {
-  for (const fleet_collection Each :
-       {fleet_collection::Configuration, fleet_collection::Targets}) {
-    collection_sync &Progress = syncOf(Each);
-    const bool NeededList = Progress.needsList();
-    Progress.compareWithPeers();
-    if (Each == fleet_collection::Targets)
-      compareWithStore();
-    if (NeededList || !Progress.needsList())
-      continue;
-    logEvent(log_level::Info, "store-changes-missing",
-             {{"collection", nameOf(Each)},
-              {"position", static_cast<std::int64_t>(Progress.position())}});
-    // An open watch may wait up to MaxWatchWait, so the list runs beside it.
-    if (IsWatching[static_cast<std::size_t>(Each)])
-      asio::co_spawn(Services.Loop, catchUp(Each), asio::detached);
-    WakeTimer.cancel();
-  }
-}
-
 void store_follower::setMaxRetryDelay(duration Delay) {
   for (collection_sync &Each : Sync)
     Each.setMaxRetryDelay(Delay);
 }
 
-void store_follower::retryNow() { RetryTimer.cancel(); }
+void store_follower::watchersFound() {
+  RetryTimer.cancel();
+  WakeTimer.cancel();
+  for (asio::steady_timer *Wait : SnapshotWaits)
+    if (Wait)
+      Wait->cancel();
+}
 
 void store_follower::setStoreUnreachable() {
   for (const fleet_collection Each :
@@ -164,29 +139,14 @@
   updateReachability(false);
 }
 
-task<void> store_follower::catchUp(fleet_collection Collection) {
-  co_await execute(Collection, list_step{});
-}
-
-void store_follower::recordPeerPosition(fleet_collection Collection,
-                                        std::uint64_t Position) {
-  syncOf(Collection).recordPeerPosition(Position);
-}
-
-void store_follower::applyRelayed(const store_changes &Changes) {
-  // Every watcher sends each change; only the first copy is decoded.
-  if (position(Changes.Collection) >= Changes.Range.Position)
-    return;
-  const auto Items = Store.DecodeChanges(Changes.Collection, Changes.Document);
-  if (!Items) {
-    logError("relayed-changes-unreadable", Items.error());
-    return;
+task<bool> store_follower::tryExecute(fleet_collection Collection,
+                                      const sync_step &Step) {
+  try {
+    co_return co_await execute(Collection, Step);
+  } catch (const std::exception &Error) {
+    logHandlerFailure(Error.what());
   }
-  if (syncOf(Changes.Collection).acceptRelayed(Changes.Range) ==
-      relay_decision::Apply)
-    apply(Changes.Collection, *Items, false);
-  else if (syncOf(Changes.Collection).needsList())
-    WakeTimer.cancel();
+  co_return false;
 }
 
 task<bool> store_follower::execute(fleet_collection Collection,
@@ -221,20 +181,26 @@
     co_return true;
   }
   const bool Current = Freshness == read_freshness::Current;
-  if (Current && !Progress.accepts(Items->Position))
+  if (!Progress.accepts(Items->Position))
     co_return true; // Relayed changes have already brought the copy further.
+  std::optional<store_changes> Relayed;
+  // The range begins at the last change, so that it also follows on copies that
+  // were read at other positions since.
+  if (Current && Watch && IsWatcher && !Items->Items.empty())
+    Relayed = store_changes{
+        .Collection = Collection,
+        .Range = {.After = Progress.lastChange(), .Position = Items->Position},
+        .Document = Archive.packChanges(Collection, *Items)};
   // Applied before the store counts as reachable again, so that the targets'
   // entries are in place by then.
-  apply(Collection, *Items, !Watch);
-  Progress.recordPosition(Items->Position, !Items->Items.empty());
+  const bool Changed = apply(Collection, *Items, !Watch);
+  Progress.recordPosition(Items->Position, Changed);
   if (!Watch && Collection == fleet_collection::Configuration)
     updateKeysConfirmedAt(StartedAt);
   if (Current && !Watch)
     OnRead();
-  if (Current && Watch)
-    OnChanges({.Collection = Collection,
-               .Range = {.After = Watch->After, .Position = Items->Position},
-               .Document = std::move(Items->Document)});
+  if (Relayed)
+    OnChanges(*Relayed);
   co_return true;
 }
 
@@ -292,21 +258,25 @@
                "retried"});
 }
 
-void store_follower::apply(fleet_collection Collection,
+bool store_follower::apply(fleet_collection Collection,
                            const store_items &Items, bool IsList) {
   for (const store_item &Item : Items.Items)
     if (const auto *Unreadable = std::get_if<unreadable_content>(&Item.Content);
         Unreadable && !Item.IsRemoved)
       reportUnreadable(Item, *Unreadable);
+  const bool Changed = Archive.apply(Collection, Items, IsList);
   switch (Collection) {
   case fleet_collection::Configuration:
     applyConfiguration(Items);
-    return;
+    break;
   case fleet_collection::Targets:
-    return Targets.apply(Items, IsList);
+    Targets.apply(Items, IsList);
+    break;
   case fleet_collection::Vms:
-    return OnVms(Items, IsList);
+    OnVms(Items, IsList);
+    break;
   }
+  return Changed;
 }
 
 void store_follower::reportUnreadable(const store_item &Item,
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -11,11 +11,23 @@
 #include "coordination/registry/collection_sync.h"
 #include "coordination/registry/types/store_messages.h"
 #include "transport/node/control_context.h"
+#include "transport/node/internal/store_archive.h"
 #include "transport/node/internal/target_publisher.h"
 #include "transport/platform/types/fleet_store.h"
 
 namespace peridot {
 
+/// What a store_follower asks and learns of the other VMs of its data centre.
+struct follower_peers {
+  /// Requests a snapshot of a collection. \returns false if there is no VM to
+  /// ask.
+  std::function<bool(fleet_collection)> RequestSnapshot;
+  /// Whether another VM watches the store and reaches it.
+  std::function<bool()> HasWatchers;
+  /// Whether other VMs check the store and report that they do not reach it.
+  std::function<bool()> IsOutageReported;
+};
+
 /// Runs on the control thread. Updates the configuration and targets of the
 /// routing snapshot and the freshness of the keys, from the store itself or
 /// from changes that other VMs relay.
@@ -31,20 +43,25 @@
   /// \param OnVms receives the VM entries that were read.
   /// \param OnChanges receives the results of this VM's own watches.
   store_follower(node_services &Services, fleet_store &Store,
-                 vms_callback OnVms, changes_callback OnChanges,
-                 read_callback OnRead);
+                 follower_peers Peers, vms_callback OnVms,
+                 changes_callback OnChanges, read_callback OnRead);
 
   void start();
-  /// Sets whether this VM watches configuration and targets itself.
+  /// Sets whether this VM watches the collections itself.
   void setWatching(bool ShouldWatch);
   /// Applies changes that another VM has read.
   void applyRelayed(const store_changes &Changes);
-  /// Records that another VM has read up to \p Position.
-  void recordPeerPosition(fleet_collection Collection, std::uint64_t Position);
+  /// Applies a snapshot if this VM needs one and has no newer copy.
+  void applySnapshot(const store_snapshot &Snapshot);
+  /// Returns this VM's copy for another VM; nullopt if it is incomplete.
+  std::optional<store_snapshot> makeSnapshot(fleet_collection Collection);
+  /// Records that another VM knows of a change at position \p LastChange.
+  void recordPeerChange(fleet_collection Collection, std::uint64_t LastChange);
   /// Sets the maximum delay between calls while the store is unreachable.
   void setMaxRetryDelay(duration Delay);
-  /// Retries at once, because the store is reachable for other VMs again.
-  void retryNow();
+  /// Calls the store or asks other VMs at once, because some reach the store
+  /// now.
+  void watchersFound();
   /// Sets since when the store has been available to at least one known VM;
   /// empty: it is available to none.
   void setStoreAvailableSince(std::optional<instant> Since, instant Now) {
@@ -55,6 +72,9 @@
   std::uint64_t position(fleet_collection Collection) const {
     return syncOf(Collection).position();
   }
+  std::uint64_t lastChange(fleet_collection Collection) const {
+    return syncOf(Collection).lastChange();
+  }
 
   /// Reads the configuration, which confirms the keys. Concurrent calls share
   /// one read.
@@ -70,13 +90,22 @@
   task<void> follow(fleet_collection Collection);
   /// Makes one call to the store. Returns false if it failed.
   task<bool> execute(fleet_collection Collection, const sync_step &Step);
+  /// Calls execute(); an unexpected error counts as a failed call.
+  task<bool> tryExecute(fleet_collection Collection, const sync_step &Step);
   task<void> readConfiguration();
-  /// Lists a collection while a watch on it is still open.
+  /// Reads a whole collection while a watch on it is still open.
   task<void> catchUp(fleet_collection Collection);
+  /// Whether to request a snapshot from other VMs instead of a list.
+  bool shouldAskPeers(fleet_collection Collection) const;
+  /// Requests a snapshot and waits for it. \returns whether it has arrived.
+  task<bool> fetchFromPeers(fleet_collection Collection);
   /// Waits until shouldQuery() holds for a collection.
   task<void> waitUntilQueryNeeded(fleet_collection Collection);
   /// Whether this VM itself has to call the store for a collection.
   bool shouldQuery(fleet_collection Collection) const;
+  /// The collection whose calls show whether the store is reachable.
+  fleet_collection probedCollection() const;
+  read_freshness freshnessFor(fleet_collection Collection) const;
   /// Lists a collection if changes that other VMs have read did not arrive.
   void compareWithPeers();
   /// Records that the history of the store reaches \p Position.
@@ -85,7 +114,8 @@
   /// this VM did not deliver.
   void compareWithStore();
 
-  void apply(fleet_collection Collection, const store_items &Items,
+  /// \returns whether the collection changed.
+  bool apply(fleet_collection Collection, const store_items &Items,
              bool IsList);
   /// \returns whether a newer configuration came into force.
   bool applyConfiguration(const store_items &Items);
@@ -102,11 +132,15 @@
     return Sync[static_cast<std::size_t>(Collection)];
   }
 
+  follower_peers Peers;
   vms_callback OnVms;
   changes_callback OnChanges;
   read_callback OnRead;
   std::array<collection_sync, 3> Sync; ///< Indexed by fleet_collection.
   std::array<bool, 3> IsWatching{};    ///< Whether a watch is open.
+  store_archive Archive;
+  /// Timers of fetchFromPeers(), by collection; null while it does not wait.
+  std::array<boost::asio::steady_timer *, 3> SnapshotWaits{};
   /// Position of the store at the last read of the configuration.
   std::uint64_t StorePosition = 0;
   /// StorePosition at the last comparison.
@@ -116,7 +150,7 @@
   /// Delay before the next call while the store is unreachable.
   boost::asio::steady_timer RetryTimer;
   target_publisher Targets;
-  bool IsWatcher = true;
+  bool IsWatcher = false;
   bool IsReachable = false;
   instant KeysConfirmedAt{};
   /// Callbacks that wait for the same read.
--- a/src/transport/node/internal/store_relay.cpp
+++ b/src/transport/node/internal/store_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <algorithm>
+
 #include "protocol/store_messages/store_codec.h"
 #include "transport/logging/event_log.h"
 #include "transport/node/internal/store_follower.h"
@@ -14,6 +16,9 @@
 /// A watcher reports every this many ticks, and at once when the store becomes
 /// unreachable or reachable.
 constexpr unsigned TicksPerReport = 2;
+/// A VM whose configuration is older than a watcher's reads it after this many
+/// ticks; until then, relayed changes may arrive.
+constexpr unsigned MaxTicksBehind = 2;
 /// A watcher calls the store at least this often, because a silent watch may
 /// have lost its connection.
 constexpr std::chrono::milliseconds RefreshPeriod{750};
@@ -25,11 +30,18 @@
 /// Time without a confirmation after which the requester reads the store
 /// itself.
 constexpr std::chrono::milliseconds ConfirmationTimeout{60};
+/// Minimum time between two confirmations from a store that does not respond:
+/// of a VM that checks it for the others, and of any other VM.
+constexpr std::chrono::milliseconds MinCheckerConfirmationInterval{400};
+constexpr std::chrono::milliseconds MinConfirmationInterval{1'000};
+/// Number of VMs that are asked for a snapshot while no report has arrived.
+constexpr std::size_t AskedWithoutReports = 2;
 
 } // namespace
 
 store_relay::store_relay(node_services &Services, store_follower &Follower)
-    : Services(Services), Follower(Follower), Election(Services.Self.Vm) {}
+    : Services(Services), Follower(Follower), Election(Services.Self.Vm),
+      NextAsked(std::hash<vm_name>{}(Services.Self.Vm)) {}
 
 void store_relay::start() {
   Services.Peers.subscribe(frame_subject::Store,
@@ -59,7 +71,7 @@
     confirmFromStore();
   if (TicksToReport == 0 || hasRecentResponse(Now) != ReportedReachable)
     report(Now);
-  --TicksToReport;
+  TicksToReport -= TicksToReport > 0 ? 1 : 0;
 }
 
 void store_relay::reportRead() {
@@ -68,11 +80,20 @@
 }
 
 void store_relay::compareRevision() {
-  if (ExpectedRevision > revisionInForce())
+  const bool IsBehind = ExpectedRevision > revisionInForce();
+  // Without any configuration, the follower is about to read one.
+  const bool HasCopy = Follower.position(fleet_collection::Configuration) > 0;
+  TicksBehind = IsBehind && HasCopy ? TicksBehind + 1 : 0;
+  if (TicksBehind >= MaxTicksBehind)
     confirmFromStore();
   ExpectedRevision = PeerRevision;
 }
 
+bool store_relay::isFirstResponsePending(instant Now) const {
+  return Follower.keysConfirmedAt() < WatcherSince &&
+         Follower.isStoreReachable() && Now - WatcherSince < MaxResponseAge;
+}
+
 bool store_relay::hasRecentResponse(instant Now) const {
   return Follower.isStoreReachable() &&
          Now - Follower.keysConfirmedAt() < MaxResponseAge;
@@ -89,15 +110,21 @@
 void store_relay::updateRole(instant Now) {
   const bool WasWatcher = IsWatcher;
   IsWatcher = Election.shouldSelfWatch(Now);
+  if (const auto Wait = Election.timeToTakeover(Now); Wait && !IsWatcher)
+    RoleTimer =
+        Services.Timers.once(*Wait, [this](instant Then) { updateRole(Then); });
   if (IsWatcher == WasWatcher)
     return;
   TicksToReport = 0;
+  WatcherSince = Now;
   if (IsWatcher && Election.isStoreUnreachableForWatchers(Now))
     Follower.setStoreUnreachable();
   Follower.setWatching(IsWatcher);
 }
 
 void store_relay::report(instant Now) {
+  if (isFirstResponsePending(Now))
+    return;
   TicksToReport = TicksPerReport;
   ReportedReachable = hasRecentResponse(Now);
   const duration RespondingFor =
@@ -107,9 +134,33 @@
       .RespondingFor =
           std::chrono::duration_cast<std::chrono::milliseconds>(RespondingFor),
       .Revision = revisionInForce(),
-      .ConfigurationPosition =
-          Follower.position(fleet_collection::Configuration),
-      .TargetsPosition = Follower.position(fleet_collection::Targets)});
+      .ConfigurationChange =
+          Follower.lastChange(fleet_collection::Configuration),
+      .TargetsChange = Follower.lastChange(fleet_collection::Targets),
+      .VmsChange = Follower.lastChange(fleet_collection::Vms)});
+}
+
+bool store_relay::hasWatchers() const {
+  return !Election.watchers(Services.Timers.now()).empty();
+}
+
+bool store_relay::isOutageReported() const {
+  return Election.isStoreUnreachableForWatchers(Services.Timers.now());
+}
+
+bool store_relay::requestSnapshot(fleet_collection Collection) {
+  const snapshot_request Request{.Collection = Collection};
+  const std::vector<vm_name> Watchers =
+      Election.watchers(Services.Timers.now());
+  if (!Watchers.empty()) {
+    send(Watchers[NextAsked++ % Watchers.size()], Request);
+    return true;
+  }
+  // After a start, the VMs that rank first are probably watchers.
+  const std::size_t Count = std::min(LocalPeers.size(), AskedWithoutReports);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    send(LocalPeers[Index], Request);
+  return Count > 0;
 }
 
 void store_relay::relay(const store_changes &Changes) {
@@ -136,6 +187,13 @@
 }
 
 void store_relay::confirmFromStore() {
+  const instant Now = Services.Timers.now();
+  const bool IsChecker = IsWatcher && isOutageReported();
+  const duration MinInterval =
+      IsChecker ? MinCheckerConfirmationInterval : MinConfirmationInterval;
+  if (isOutageReported() && Now - LastConfirmationAt < MinInterval)
+    return;
+  LastConfirmationAt = Now;
   Follower.confirmKeys([](std::optional<instant>) {});
 }
 
@@ -156,15 +214,15 @@
   const instant Now = Services.Timers.now();
   const bool HadWatchers = !Election.watchers(Now).empty();
   Election.recordReport(Sender, Report, Now);
-  if (!HadWatchers && Report.StoreResponds && !Follower.isStoreReachable())
-    Follower.retryNow();
+  if (!HadWatchers && Report.StoreResponds)
+    Follower.watchersFound();
   if (Report.StoreResponds) {
     Availability.recordReport(Report.RespondingFor, Now);
     PeerRevision = std::max(PeerRevision, Report.Revision);
-    Follower.recordPeerPosition(fleet_collection::Configuration,
-                                Report.ConfigurationPosition);
-    Follower.recordPeerPosition(fleet_collection::Targets,
-                                Report.TargetsPosition);
+    Follower.recordPeerChange(fleet_collection::Configuration,
+                              Report.ConfigurationChange);
+    Follower.recordPeerChange(fleet_collection::Targets, Report.TargetsChange);
+    Follower.recordPeerChange(fleet_collection::Vms, Report.VmsChange);
   }
   updateRole(Now);
   updateAvailability(Now);
@@ -184,6 +242,18 @@
   });
 }
 
+void store_relay::on(const vm_name &Sender, const snapshot_request &Request) {
+  if (!IsWatcher || !hasRecentResponse(Services.Timers.now()))
+    return;
+  if (const auto Snapshot = Follower.makeSnapshot(Request.Collection))
+    send(Sender, *Snapshot);
+}
+
+void store_relay::on(const vm_name & /*Sender*/,
+                     const store_snapshot &Snapshot) {
+  Follower.applySnapshot(Snapshot);
+}
+
 void store_relay::sendConfirmation(const vm_name &Requester,
                                    std::uint64_t Number, instant StartedAt) {
   send(Requester,
@@ -192,7 +262,7 @@
            .Age = std::chrono::ceil<std::chrono::milliseconds>(
                Services.Timers.now() - StartedAt),
            .Revision = revisionInForce(),
-           .TargetsPosition = Follower.position(fleet_collection::Targets)});
+           .TargetsChange = Follower.lastChange(fleet_collection::Targets)});
 }
 
 void store_relay::on(const vm_name & /*Sender*/,
@@ -201,8 +271,8 @@
     return;
   const instant SentAt = PendingRequest->SentAt;
   PendingRequest.reset();
-  Follower.recordPeerPosition(fleet_collection::Targets,
-                              Confirmation.TargetsPosition);
+  Follower.recordPeerChange(fleet_collection::Targets,
+                            Confirmation.TargetsChange);
   // The age counts from when the request was sent, so that a slow exchange only
   // makes the confirmation look older.
   if (Confirmation.Revision <= revisionInForce())
--- a/src/transport/peers/internal/peer_hub.cpp
+++ b/src/transport/peers/internal/peer_hub.cpp
@@ -79,7 +79,8 @@
 void peer_hub::send(const vm_name &Peer, frame_subject Subject,
                     bytes_view Body) {
   const auto Address = Addresses.find(Peer);
-  if (Address == Addresses.end())
+  // Without the key, peers would refuse the link.
+  if (Address == Addresses.end() || Options.FleetKey.empty())
     return;
   auto &Link = Links[Peer];
   if (!Link)
--- a/src/transport/platform/types/fleet_store.h
+++ b/src/transport/platform/types/fleet_store.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -44,6 +45,8 @@
   std::uint64_t Revision = 0; ///< Revision of the last change to the object.
   bool IsRemoved = false;     ///< If true, Content has no meaning.
   store_content Content;
+  /// The object in the store's format, for fleet_store::EncodeList.
+  std::string Text;
 };
 
 /// Result of a list or watch: objects or changes up to a position in the
@@ -74,6 +77,14 @@
   /// Decodes a watch response that another VM has relayed.
   std::function<result<store_items>(fleet_collection, std::string_view)>
       DecodeChanges;
+  /// Encodes objects, given by store_item::Text, as a complete list at a
+  /// position in the store's history.
+  std::function<std::string(std::span<const std::string_view> Objects,
+                            std::uint64_t Position)>
+      EncodeList;
+  /// Decodes such a list.
+  std::function<result<store_items>(fleet_collection, std::string_view)>
+      DecodeList;
   /// Creates the VM's object or replaces the one with the same name.
   std::function<task<result<void>>(registered_vm)> Register;
   std::function<task<result<void>>(vm_name)> Unregister;
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -41,7 +41,7 @@
 
   /// Whether a node watches the store itself, according to its log.
   static bool isWatcher(const store_node &Each) {
-    bool IsWatcher = true;
+    bool IsWatcher = false;
     for (const std::string &Line : Each.Node.Process->lines())
       if (Line.find("\"store-reading\"") != Line.npos)
         IsWatcher = Line.find("\"reads\":true") != Line.npos;
@@ -51,10 +51,8 @@
   /// Waits until two nodes watch the store and the others do not.
   void awaitWatchers() const {
     awaitCondition("two watchers", [&] {
-      int Followers = 0;
-      for (const auto &Each : Nodes)
-        Followers += isWatcher(*Each) ? 0 : 1;
-      return Followers == 2;
+      return std::ranges::count_if(
+                 Nodes, [](const auto &Each) { return isWatcher(*Each); }) == 2;
     });
   }
 
@@ -75,13 +73,21 @@
   }
 
   /// Cuts a node that does not watch the store off from it, and waits until the
-  /// node has noticed.
+  /// node has noticed. It calls the store only when the watchers are silent.
   std::size_t cutOffFollower() {
     std::size_t Follower = 0;
-    while (isWatcher(*Nodes[Follower]))
-      ++Follower;
+    std::vector<std::size_t> Watchers;
+    for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+      if (isWatcher(*Nodes[Node]))
+        Watchers.push_back(Node);
+      else
+        Follower = Node;
     Nodes[Follower]->Proxy->setFaults("backward_truncate_at=0");
+    for (const std::size_t Node : Watchers)
+      Nodes[Node]->Node.Process->signal(SIGSTOP);
     Nodes[Follower]->Node.Process->awaitLine("\"store-lost\"");
+    for (const std::size_t Node : Watchers)
+      Nodes[Node]->Node.Process->signal(SIGCONT);
     return Follower;
   }
 
@@ -277,3 +283,68 @@
   for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
     CHECK(countServedElsewhere(Node, 20) == 20);
 }
+
+// Guards against a VM that learns after a restart from its peers, or from a
+// late response, of a key that was revoked or a target that has left.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "node_restartedAfterChanges_revokedKeyAndGoneTargetUnused") {
+  awaitSettled();
+  Nodes[3]->Node.Process->signal(SIGKILL);
+  Nodes[3]->Node.Process->awaitExit();
+  store_account Rekeyed = Keepers;
+  Rekeyed.Keys = {"another-key"};
+  writeConfiguration(2, {Rekeyed});
+  removeTarget(*Targets[0]);
+  std::this_thread::sleep_for(1s);
+  restart(*Nodes[3]);
+  awaitReady(*Nodes[3]);
+  CHECK(call(3) == 401);
+  const std::string Before = Targets[0]->Target.executions();
+  for (int Count = 0; Count < 20; ++Count)
+    CHECK(callWithKey(Nodes[3]->Node.CallerPort, "/logs/1", "another-key",
+                      "k" + std::to_string(Count), "hive")
+              .Status == 200);
+  CHECK(Targets[0]->Target.executions() == Before);
+}
+
+// The same while the store does not respond: the VM serves no keyed request.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "node_restartedWhileStoreAway_keyedRequestsRefused") {
+  awaitSettled();
+  setPlatformFaults("silent=1");
+  Nodes[3]->Node.Process->signal(SIGKILL);
+  Nodes[3]->Node.Process->awaitExit();
+  restart(*Nodes[3]);
+  for (int Count = 0; Count < 5; ++Count)
+    CHECK(call(3) == 503);
+  setPlatformFaults("");
+  awaitStatus(3, "/logs/1", 200);
+}
+
+// Pattern: a VM starts while others run. It learns the collections from a
+// watcher, so that its start does not cost the store a call for each of them.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "node_restartedBesideOthers_collectionsReadFromWatchers") {
+  awaitSettled();
+  Nodes[3]->Node.Process->signal(SIGKILL);
+  Nodes[3]->Node.Process->awaitExit();
+  restart(*Nodes[3]);
+  Nodes[3]->Node.Process->awaitLine("\"snapshot-applied\"");
+  awaitStatus(3, "/logs/1", 200);
+}
+
+// Pattern: a call to the store begins just before the end of a silent outage
+// and never gets its response. The next state must not wait for it.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "nodes_callHangsFromOutage_laterRevocationAppliedInTime") {
+  awaitSettled();
+  setPlatformFaults("silent=1");
+  std::this_thread::sleep_for(1500ms);
+  setPlatformFaults("");
+  store_account Rekeyed = Keepers;
+  Rekeyed.Keys = {"another-key"};
+  writeConfiguration(2, {Rekeyed});
+  std::this_thread::sleep_for(2s);
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+    CHECK(call(Node) == 401);
+}
