--- a/tests/integration/store_attempts_test.cpp
+++ b/tests/integration/store_attempts_test.cpp
@@ -130,3 +130,51 @@
   Caller.join();
   CHECK(countExecutions() == Before + 1);
 }
+
+// Guards against a target that is silent for a while: a request that must not
+// be repeated is neither sent elsewhere nor given up.
+TEST_CASE_FIXTURE(
+    store_attempts_fixture,
+    "node_targetPausedDuringRequest_unrepeatableRunsOnceAndServed") {
+  for (const auto &Each : Targets)
+    Each->Target.setBehaviour("delay_ms=300");
+  const int Before = countExecutions();
+  unsigned Status = 0;
+  std::thread Caller([&] {
+    Status = callWithKey(Nodes.front()->Node.CallerPort, "/dispatch/1",
+                         "keeper-key", "paused", "hive")
+                 .Status;
+  });
+  awaitCondition("the request to run",
+                 [&] { return countExecutions() > Before; });
+  for (const auto &Each : Targets)
+    Each->Target.Process->signal(SIGSTOP);
+  std::this_thread::sleep_for(1s);
+  for (const auto &Each : Targets)
+    Each->Target.Process->signal(SIGCONT);
+  Caller.join();
+  CHECK(Status == 200);
+  CHECK(countExecutions() == Before + 1);
+}
+
+// The same for a VM that does not run for a while.
+TEST_CASE_FIXTURE(store_attempts_fixture,
+                  "node_pausedDuringRequest_unrepeatableRunsOnceAndServed") {
+  for (const auto &Each : Targets)
+    Each->Target.setBehaviour("delay_ms=300");
+  const int Before = countExecutions();
+  unsigned Status = 0;
+  std::thread Caller([&] {
+    Status = callWithKey(Nodes.front()->Node.CallerPort, "/dispatch/1",
+                         "keeper-key", "paused", "hive")
+                 .Status;
+  });
+  awaitCondition("the request to run",
+                 [&] { return countExecutions() > Before; });
+  Nodes.front()->Node.Process->signal(SIGSTOP);
+  std::this_thread::sleep_for(1s);
+  Nodes.front()->Node.Process->signal(SIGCONT);
+  Caller.join();
+  CHECK(Status == 200);
+  CHECK(countExecutions() == Before + 1);
+}
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -51,6 +51,12 @@
   return !Error;
 }
 
+void scripted_connection::reset() {
+  boost::system::error_code Ignored;
+  Impl.Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Impl.Socket.close(Ignored);
+}
+
 const std::string &scripted_connection::received() const {
   return Impl.Received;
 }
