--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -293,9 +293,6 @@
 
 task<bool> caller_session::forward(const admitted_request &Admitted,
                                    snapshot_ptr Snapshot) {
-  const auto LateRefusal = checkShutdown(Admitted);
-  if (LateRefusal)
-    co_return co_await refuse(*LateRefusal);
   const request_meters Meters =
       Worker.metersOf(Admitted, Snapshot->Configuration);
   const instant StartedAt = bootNow();
@@ -312,6 +309,12 @@
     Meters.record(request_end::NotRun, bootNow() - StartedAt);
     co_return co_await refuse(*Refused);
   }
+  // Checked last, as the request's timeout begins now.
+  const auto LateRefusal = checkShutdown(Admitted);
+  if (LateRefusal) {
+    Meters.record(request_end::NotRun, bootNow() - StartedAt);
+    co_return co_await refuse(*LateRefusal);
+  }
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
   const relay_result Result = co_await Relay.run(Admitted);
   Meters.record(endOf(Result), bootNow() - StartedAt);
