--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -39,8 +39,8 @@
 constexpr std::chrono::seconds UnrepeatableIdleLimit{3};
 
 /// A VM learns configuration and targets from others, or waits for their
-/// silence and reads the store. Requests that arrive earlier wait for this long,
-/// as they could only be refused; callers give up after about a second.
+/// silence and reads the store. Requests that arrive earlier wait for this
+/// long, as they could only be refused; callers give up after about a second.
 constexpr std::chrono::milliseconds StartupTimeout{950};
 
 constexpr std::size_t RequestBufferBytes = 512U << 10U;
