Serve no account without a limit while its first shares are unknown

Cause: account_buckets counted an account as unlimited until the first division of its limit, which came with a tick of 500 ms, up to half a second after the first configuration. Change: until its first shares are known, an account counts as limited and has no share; its requests wait, and the shares are computed with the first configuration. Result: accountBuckets_beforeFirstShares_refusedUntilShareIsKnown, a module test without a network; with the earlier initial value, take() admits the request.

--- a/src/coordination/hosting/account_buckets.h
+++ b/src/coordination/hosting/account_buckets.h
@@ -15,7 +15,7 @@
 
 class account_buckets {
 public:
-  /// Replaces the shares; accounts without one are not limited.
+  /// Replaces the shares; accounts without one are not limited from then on.
   void configure(std::span<const account_limit_share> Shares, instant Now);
   /// Takes one token from the account's share or from the reserve of this VM;
   /// requests that were refused before may also use a grant of the primary.
@@ -72,7 +72,9 @@
     vm_name Primary;
     primary_responses Granted;
     primary_responses Denied;
-    bool IsLimited = false;
+    /// Until the first shares are known, every account counts as limited and
+    /// has none.
+    bool IsLimited = true;
     unsigned RequestCount = 0; ///< Since the last takeDemand().
   };
 
--- a/src/coordination/hosting/tests/demand_shares_test.cpp
+++ b/src/coordination/hosting/tests/demand_shares_test.cpp
@@ -207,6 +207,25 @@
   CHECK(Hosts[0].shares(Accounts, vms(), Names[0], Now).empty());
 }
 
+// Pattern: all VMs restart while one account sends many times its rate. Until a
+// VM knows its shares, the account must not be served without any limit.
+TEST_CASE("accountBuckets_beforeFirstShares_refusedUntilShareIsKnown") {
+  account_buckets Buckets;
+  const instant Now{std::chrono::seconds(100)};
+  const auto Decision = Buckets.take(Keepers, rate_check::First, Now);
+  REQUIRE(std::holds_alternative<rate_refused>(Decision));
+  CHECK(std::get<rate_refused>(Decision).ShareRequested);
+  Buckets.configure(
+      std::vector<account_limit_share>{
+          {.Account = Keepers, .Limit = {10, 40}, .InitialTokens = 1}},
+      Now);
+  CHECK(std::holds_alternative<rate_admitted>(
+      Buckets.take(Keepers, rate_check::Poll, Now)));
+  Buckets.configure({}, Now);
+  CHECK(std::holds_alternative<rate_admitted>(
+      Buckets.take(Keepers, rate_check::First, Now)));
+}
+
 TEST_CASE("accountBuckets_newShare_startsWithInitialTokens") {
   account_buckets Buckets;
   const instant Now{std::chrono::seconds(100)};
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 
@@ -130,6 +131,11 @@
     updateRetryBudgets();
 }
 
+void hosting_driver::configurationAccepted() {
+  if (!std::exchange(HasShares, true))
+    updateLimitShares(Services.Timers.now());
+}
+
 void hosting_driver::updateRetryBudgets() {
   const double Count =
       static_cast<double>(std::max<std::size_t>(Hosts.size(), 1));
@@ -228,6 +234,8 @@
 
 rate_decision hosting_driver::takeRate(const client_account &Account,
                                        rate_check Check) {
+  if (Account.Limit.RequestsPerSecond <= 0)
+    return rate_admitted{};
   rate_decision Decision = Buckets.take(Account.Name, Check, bootNow());
   auto *Refused = std::get_if<rate_refused>(&Decision);
   if (!Refused)
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -20,6 +20,9 @@
   void apply(const store_items &Items, bool IsList);
   /// Applies changed settings.
   void settingsChanged();
+  /// Called after a configuration has come into force. Requests that wait for
+  /// the first shares of their accounts get them at once.
+  void configurationAccepted();
   /// Notifies the local peers that this VM is leaving.
   void leave();
 
@@ -79,6 +82,7 @@
   std::vector<vm_name> StableHosts;
   bool IsHost = false;
   bool IsLeaving = false;
+  bool HasShares = false; ///< Shares were computed for a first configuration.
 };
 
 } // namespace peridot
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -78,7 +78,8 @@
             Relay.setRanking(Hosting.ranking());
           },
           [this](const store_changes &Changes) { Relay.relay(Changes); },
-          [this] { Relay.reportRead(); }),
+          [this] { Relay.reportRead(); },
+          [this] { Hosting.configurationAccepted(); }),
       Relay(Services, Follower),
       Directory(
           Services.Loop,
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -26,11 +26,13 @@
 
 store_follower::store_follower(node_services &Services, fleet_store &Store,
                                follower_peers Peers, vms_callback OnVms,
-                               changes_callback OnChanges, read_callback OnRead)
+                               changes_callback OnChanges, read_callback OnRead,
+                               configuration_callback OnConfiguration)
     : Services(Services), Store(Store), Peers(std::move(Peers)),
       OnVms(std::move(OnVms)), OnChanges(std::move(OnChanges)),
-      OnRead(std::move(OnRead)), Archive(Store), WakeTimer(Services.Loop),
-      RetryTimer(Services.Loop), Targets(Services) {
+      OnRead(std::move(OnRead)), OnConfiguration(std::move(OnConfiguration)),
+      Archive(Store), WakeTimer(Services.Loop), RetryTimer(Services.Loop),
+      Targets(Services) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -310,6 +312,8 @@
          .Rule = "only a higher version replaces the one in force"});
     IsNewer = true;
   }
+  if (IsNewer)
+    OnConfiguration();
   return IsNewer;
 }
 
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -37,6 +37,8 @@
   using changes_callback = std::function<void(const store_changes &)>;
   /// Called after a read that is not relayed brought new data.
   using read_callback = std::function<void()>;
+  /// Called after a newer configuration has come into force.
+  using configuration_callback = std::function<void()>;
   /// Receives the start time of the read; empty if it failed.
   using confirmation_callback = std::function<void(std::optional<instant>)>;
 
@@ -44,7 +46,8 @@
   /// \param OnChanges receives the results of this VM's own watches.
   store_follower(node_services &Services, fleet_store &Store,
                  follower_peers Peers, vms_callback OnVms,
-                 changes_callback OnChanges, read_callback OnRead);
+                 changes_callback OnChanges, read_callback OnRead,
+                 configuration_callback OnConfiguration);
 
   void start();
   /// Sets whether this VM watches the collections itself.
@@ -136,6 +139,7 @@
   vms_callback OnVms;
   changes_callback OnChanges;
   read_callback OnRead;
+  configuration_callback OnConfiguration;
   std::array<collection_sync, 3> Sync; ///< Indexed by fleet_collection.
   std::array<bool, 3> IsWatching{};    ///< Whether a watch is open.
   store_archive Archive;
