Let a VM that starts admit its part of a limit before it has a share

Cause: since an account without known shares counts as limited, the first requests at a VM that starts are refused while the primary of their account is not back, as after restarts one by one (nodes_restarted_firstRequestServed failed). They were served before because nothing limited them. Change: with its first division of the limits, a VM may admit its even part, by registered VMs, of what the limit allows in 400 ms, a time for which it did not run. Together that is at most what the limit yields while all VMs start. The two tests of pauses share their code now.

--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -48,6 +48,9 @@
   /// How long a larger share must be computed before it is used. Exceeds the
   /// time until all hosts know of a change of demand or of hosts.
   duration GrowthDelay = std::chrono::milliseconds(1'500);
+  /// A VM that starts may admit its even part of what the limits of all VMs
+  /// allow in this time. It was not running for at least as long.
+  duration StartAllowanceTime = std::chrono::milliseconds(400);
 };
 
 /// This VM's share of one account's limit.
@@ -76,6 +79,8 @@
   std::span<const vm_name> Hosts;
   /// Stable hosts; the primary of each account is one of them.
   std::span<const vm_name> StableHosts;
+  /// Number of registered VMs, whether they run or not; 0: unknown.
+  std::size_t RegisteredCount = 0;
 };
 
 class demand_shares {
@@ -130,6 +135,8 @@
   double limitGrowth(const account_name &Account, double Computed);
   /// Starts a new period of GrowthDelay when the last one is over.
   void startPeriod(instant Now);
+  /// Returns the requests that this VM may admit before it has a share.
+  double startTokens(const rate_limit &Limit, const sharing_vms &Vms) const;
   /// Weight of the other hosts of this VM's data centre.
   double localWeight(const account_name &Account) const;
   /// Weight of the other data centres.
@@ -155,6 +162,7 @@
   std::vector<account_demand> ReportedOwnDemand;
   std::map<account_name, share_in_use> SharesInUse;
   instant PeriodStart{};
+  bool HasDivided = false; ///< Shares were computed before.
 };
 
 /// Returns the primary of an account; empty if \p StableHosts is empty.
--- a/src/coordination/hosting/internal/demand_shares.cpp
+++ b/src/coordination/hosting/internal/demand_shares.cpp
@@ -183,6 +183,15 @@
   return Share.Current;
 }
 
+double demand_shares::startTokens(const rate_limit &Limit,
+                                  const sharing_vms &Vms) const {
+  if (HasDivided || Vms.RegisteredCount == 0)
+    return 0;
+  const std::chrono::duration<double> Time(Options.StartAllowanceTime);
+  const auto Count = static_cast<double>(Vms.RegisteredCount);
+  return std::floor(Limit.RequestsPerSecond * Time.count() / Count);
+}
+
 std::vector<account_limit_share>
 demand_shares::shares(std::span<const client_account> Accounts,
                       const sharing_vms &Vms, const vm_name &Self,
@@ -210,6 +219,9 @@
                              .AccountLimit = Account.Limit,
                              .Primary =
                                  primaryOf(Account.Name, Vms.StableHosts)};
+    const double StartTokens = startTokens(Account.Limit, Vms);
+    Each.Limit.Burst = std::max(Each.Limit.Burst, StartTokens);
+    Each.InitialTokens = std::max(Each.InitialTokens, StartTokens);
     if (Each.Primary == Self) {
       Each.Reserve = scaledLimit(Account.Limit, ReserveShare);
       Each.InitialReserveTokens = InitialTokens * ReserveShare;
@@ -222,6 +234,7 @@
     }
     Shares.push_back(std::move(Each));
   }
+  HasDivided = true;
   return Shares;
 }
 
--- a/src/coordination/hosting/tests/demand_shares_test.cpp
+++ b/src/coordination/hosting/tests/demand_shares_test.cpp
@@ -1,5 +1,7 @@
 #include "coordination/hosting/demand_shares.h"
 
+#include <cmath>
+
 #include <doctest/doctest.h>
 
 #include "coordination/hosting/account_buckets.h"
@@ -202,6 +204,27 @@
   CHECK(maxAdmitted() <= (6 * 5 + 6) * 1.1 + 20);
 }
 
+// Pattern: VMs restart one after the other, and the primary of an account is
+// not back yet. Together, all VMs admit no more than the limit allows for a
+// moment.
+TEST_CASE_FIXTURE(demand_shares_fixture,
+                  "shares_firstDivision_evenPartOfLimitUsableUntilSecond") {
+  demand_shares Starting;
+  sharing_vms Vms = vms();
+  Vms.RegisteredCount = 4;
+  const rate_limit &Limit = Accounts.front().Limit;
+  const double Expected = std::floor(Limit.RequestsPerSecond * 0.4 / 4);
+  REQUIRE(Expected >= 1);
+  const auto First =
+      Starting.shares(Accounts, Vms, vm_name("elsewhere"), Now).front();
+  CHECK(First.InitialTokens == Expected);
+  CHECK(First.Limit.Burst == Expected);
+  CHECK(First.Limit.RequestsPerSecond == 0);
+  const auto Second =
+      Starting.shares(Accounts, Vms, vm_name("elsewhere"), Now).front();
+  CHECK(Second.Limit.Burst == 0);
+}
+
 TEST_CASE_FIXTURE(demand_shares_fixture, "shares_unlimitedAccount_none") {
   Accounts.front().Limit = {};
   CHECK(Hosts[0].shares(Accounts, vms(), Names[0], Now).empty());
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -122,11 +122,12 @@
   }
   const configuration_ptr &Current = Services.Snapshots.current().Configuration;
   if (Current)
-    Buckets.configure(
-        Demands.shares(Current->configuration().Accounts,
-                       {.Hosts = Hosts, .StableHosts = StableHosts},
-                       Services.Self.Vm, Now),
-        Now);
+    Buckets.configure(Demands.shares(Current->configuration().Accounts,
+                                     {.Hosts = Hosts,
+                                      .StableHosts = StableHosts,
+                                      .RegisteredCount = RegisteredVms.size()},
+                                     Services.Self.Vm, Now),
+                      Now);
   if (Hosts.size() != PreviousCount)
     updateRetryBudgets();
 }
--- a/tests/integration/store_attempts_test.cpp
+++ b/tests/integration/store_attempts_test.cpp
@@ -1,3 +1,4 @@
+#include <functional>
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -55,6 +56,24 @@
     return static_cast<int>(Count);
   }
 
+  /// Sends a request that must not be repeated, and pauses processes with
+  /// \p SignalAll for a second while it runs.
+  /// \returns whether it ran once and was served.
+  bool servesOnceDespitePause(const std::function<void(int)> &SignalAll) {
+    for (const auto &Each : Targets)
+      Each->Target.setBehaviour("delay_ms=300");
+    const int Before = countExecutions();
+    bool IsServed = false;
+    std::thread Caller([&] { IsServed = requestSucceeds("/dispatch/1"); });
+    awaitCondition("the request to run",
+                   [&] { return countExecutions() > Before; });
+    SignalAll(SIGSTOP);
+    std::this_thread::sleep_for(1s);
+    SignalAll(SIGCONT);
+    Caller.join();
+    return IsServed && countExecutions() == Before + 1;
+  }
+
   int LastId = 0;
 };
 
@@ -136,45 +155,15 @@
 TEST_CASE_FIXTURE(
     store_attempts_fixture,
     "node_targetPausedDuringRequest_unrepeatableRunsOnceAndServed") {
-  for (const auto &Each : Targets)
-    Each->Target.setBehaviour("delay_ms=300");
-  const int Before = countExecutions();
-  unsigned Status = 0;
-  std::thread Caller([&] {
-    Status = callWithKey(Nodes.front()->Node.CallerPort, "/dispatch/1",
-                         "keeper-key", "paused", "hive")
-                 .Status;
-  });
-  awaitCondition("the request to run",
-                 [&] { return countExecutions() > Before; });
-  for (const auto &Each : Targets)
-    Each->Target.Process->signal(SIGSTOP);
-  std::this_thread::sleep_for(1s);
-  for (const auto &Each : Targets)
-    Each->Target.Process->signal(SIGCONT);
-  Caller.join();
-  CHECK(Status == 200);
-  CHECK(countExecutions() == Before + 1);
+  CHECK(servesOnceDespitePause([this](int Signal) {
+    for (const auto &Each : Targets)
+      Each->Target.Process->signal(Signal);
+  }));
 }
 
 // The same for a VM that does not run for a while.
 TEST_CASE_FIXTURE(store_attempts_fixture,
                   "node_pausedDuringRequest_unrepeatableRunsOnceAndServed") {
-  for (const auto &Each : Targets)
-    Each->Target.setBehaviour("delay_ms=300");
-  const int Before = countExecutions();
-  unsigned Status = 0;
-  std::thread Caller([&] {
-    Status = callWithKey(Nodes.front()->Node.CallerPort, "/dispatch/1",
-                         "keeper-key", "paused", "hive")
-                 .Status;
-  });
-  awaitCondition("the request to run",
-                 [&] { return countExecutions() > Before; });
-  Nodes.front()->Node.Process->signal(SIGSTOP);
-  std::this_thread::sleep_for(1s);
-  Nodes.front()->Node.Process->signal(SIGCONT);
-  Caller.join();
-  CHECK(Status == 200);
-  CHECK(countExecutions() == Before + 1);
+  CHECK(servesOnceDespitePause(
+      [this](int Signal) { Nodes.front()->Node.Process->signal(Signal); }));
 }
