--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -135,8 +136,10 @@
   double limitGrowth(const account_name &Account, double Computed);
   /// Starts a new period of GrowthDelay when the last one is over.
   void startPeriod(instant Now);
-  /// Returns the requests that this VM may admit before it has a share.
-  double startTokens(const rate_limit &Limit, const sharing_vms &Vms) const;
+  /// Returns how many requests this VM may admit in all until its first shares
+  /// can have grown.
+  double startTokens(const rate_limit &Limit, const sharing_vms &Vms,
+                     instant Now) const;
   /// Weight of the other hosts of this VM's data centre.
   double localWeight(const account_name &Account) const;
   /// Weight of the other data centres.
@@ -162,7 +165,7 @@
   std::vector<account_demand> ReportedOwnDemand;
   std::map<account_name, share_in_use> SharesInUse;
   instant PeriodStart{};
-  bool HasDivided = false; ///< Shares were computed before.
+  std::optional<instant> FirstDivisionAt; ///< When shares were first computed.
 };
 
 /// Returns the primary of an account; empty if \p StableHosts is empty.
--- a/src/coordination/hosting/internal/demand_shares.cpp
+++ b/src/coordination/hosting/internal/demand_shares.cpp
@@ -184,8 +184,10 @@
 }
 
 double demand_shares::startTokens(const rate_limit &Limit,
-                                  const sharing_vms &Vms) const {
-  if (HasDivided || Vms.RegisteredCount == 0)
+                                  const sharing_vms &Vms, instant Now) const {
+  const bool IsStarting =
+      FirstDivisionAt && Now - *FirstDivisionAt < Options.GrowthDelay;
+  if (!IsStarting || Vms.RegisteredCount == 0)
     return 0;
   const std::chrono::duration<double> Time(Options.StartAllowanceTime);
   const auto Count = static_cast<double>(Vms.RegisteredCount);
@@ -198,6 +200,8 @@
                       instant Now) {
   forgetSilent(Now);
   startPeriod(Now);
+  if (!FirstDivisionAt)
+    FirstDivisionAt = Now;
   const bool IsHost = std::ranges::find(Vms.Hosts, Self) != Vms.Hosts.end();
   const auto HostCount =
       static_cast<double>(std::max(Vms.Hosts.size(), knownHostCount()));
@@ -219,7 +223,7 @@
                              .AccountLimit = Account.Limit,
                              .Primary =
                                  primaryOf(Account.Name, Vms.StableHosts)};
-    const double StartTokens = startTokens(Account.Limit, Vms);
+    const double StartTokens = startTokens(Account.Limit, Vms, Now);
     Each.Limit.Burst = std::max(Each.Limit.Burst, StartTokens);
     Each.InitialTokens = std::max(Each.InitialTokens, StartTokens);
     if (Each.Primary == Self) {
@@ -234,7 +238,6 @@
     }
     Shares.push_back(std::move(Each));
   }
-  HasDivided = true;
   return Shares;
 }
 
