Pass the fuzzed messages by reference

Cause: the linter refuses a parameter that is copied and only read. Change: textDecoder takes its messages by reference.

--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -55,10 +55,10 @@
 
 template <typename Decode>
 fuzzed_decoder textDecoder(std::string_view Name,
-                           std::vector<std::string> Messages,
+                           const std::vector<std::string> &Messages,
                            Decode DecodeOne) {
   return {.Name = Name,
-          .Messages = std::move(Messages),
+          .Messages = Messages,
           .Decode = [=](std::string_view Text) { (void)DecodeOne(Text); }};
 }
 
