Show that a machine keeps using a draining endpoint

Claim: DRAIN breaks after the store has lost the answer of one watch of the endpoints. A later change of the configuration hides the missed change from the comparison with the store's position, so the machine learns of a leaving endpoint only when the watch times out.

--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr double WatchPollSeconds = 0.005;
-constexpr int PortsPerFleet = 24;
+constexpr int PortsPerFleet = 64;
 
 const auto Start = std::chrono::steady_clock::now();
 
@@ -56,11 +56,10 @@
 
 using server = std::function<task<void>(tcp_stream)>;
 
-task<void> acceptAll(asio::io_context &Loop, asio::ip::tcp::endpoint Local,
-                     server Serve) {
-  tcp_acceptor Acceptor(Loop, Local);
-  while (true) {
-    auto [Error, Socket] = co_await Acceptor.async_accept(UseTaskTuple);
+task<void> acceptAll(asio::io_context &Loop,
+                     std::shared_ptr<tcp_acceptor> Acceptor, server Serve) {
+  while (Acceptor->is_open()) {
+    auto [Error, Socket] = co_await Acceptor->async_accept(UseTaskTuple);
     if (Error)
       continue;
     Socket.set_option(asio::ip::tcp::no_delay(true));
@@ -68,6 +67,12 @@
   }
 }
 
+std::shared_ptr<tcp_acceptor> listenOn(asio::io_context &Loop,
+                                       std::uint16_t Port) {
+  return std::make_shared<tcp_acceptor>(
+      Loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), Port));
+}
+
 bool isFree(const std::string &Ip, int Port) {
   asio::io_context Loop;
   boost::system::error_code Error;
@@ -116,7 +121,7 @@
 void platform_store::start(std::uint16_t Port) {
   asio::co_spawn(
       Loop,
-      acceptAll(Loop, {asio::ip::make_address("127.0.0.1"), Port},
+      acceptAll(Loop, listenOn(Loop, Port),
                 [this](tcp_stream Stream) { return serve(std::move(Stream)); }),
       asio::detached);
 }
@@ -178,11 +183,20 @@
   std::string Name =
       Slash == std::string::npos ? std::string() : Rest.substr(Slash + 1);
   if (Request.method() == http::verb::get) {
+    if (IsSilent)
+      co_return std::nullopt;
     const std::string After = queryValue(Target, "watch");
     if (After.empty())
       co_return list(Kind);
-    co_return co_await watch(Kind, std::stoull(After),
-                             std::stod(queryValue(Target, "wait-ms")) / 1'000);
+    http_response Changed =
+        co_await watch(Kind, std::stoull(After),
+                       std::stod(queryValue(Target, "wait-ms")) / 1'000);
+    const bool HasEvents = Changed.body().find("object") != std::string::npos;
+    if (HasEvents && LosesWatchAnswer && LosesWatchAnswer(Kind)) {
+      Record.note("store: the answer of a watch of " + Kind + " is lost");
+      co_return std::nullopt;
+    }
+    co_return Changed;
   }
   if (Name.empty())
     Name = std::string(
@@ -248,11 +262,26 @@
 
 void endpoint::start(std::uint16_t ChosenPort) {
   Port = ChosenPort;
-  asio::co_spawn(
-      Loop,
-      acceptAll(Loop, {asio::ip::make_address("127.0.0.1"), Port},
-                [this](tcp_stream Stream) { return serve(std::move(Stream)); }),
-      asio::detached);
+  Acceptor = listenOn(Loop, Port);
+  asio::co_spawn(Loop,
+                 acceptAll(Loop, Acceptor,
+                           [this](tcp_stream Stream) {
+                             auto Shared = std::make_shared<tcp_stream>(
+                                 std::move(Stream));
+                             Streams.push_back(Shared);
+                             return serve(std::move(Shared));
+                           }),
+                 asio::detached);
+}
+
+void endpoint::end() {
+  Record.note("endpoint " + Id + " ends");
+  HasEnded = true;
+  boost::system::error_code Ignored;
+  Acceptor->close(Ignored);
+  for (const auto &Each : Streams)
+    if (const auto Stream = Each.lock())
+      Stream->close();
 }
 
 json::value endpoint::entry(const std::string &Zone,
@@ -263,17 +292,17 @@
        {{"service", Service},
         {"zone", Zone},
         {"version", "v1"},
-        {"max-concurrency", 64}}},
+        {"max-concurrency", 3}}},
       {"status", {{"state", State}, {"sequence", 1}, {"warmup-left", "0ms"}}},
       {"born", 1'700'000'000'000}};
 }
 
-task<void> endpoint::serve(tcp_stream Stream) {
+task<void> endpoint::serve(std::shared_ptr<tcp_stream> Stream) {
   beast::flat_buffer Buffer;
   while (true) {
     http_request Request;
     auto [Error, Read] =
-        co_await http::async_read(Stream, Buffer, Request, UseTaskTuple);
+        co_await http::async_read(*Stream, Buffer, Request, UseTaskTuple);
     if (Error)
       co_return;
     http_response Response(http::status::ok, 11);
@@ -287,14 +316,18 @@
                       .Tenant = toText(Request["X-Tenant"]),
                       .Endpoint = Id});
       Record.note("endpoint " + Id + " runs " + Runs.back().RequestId);
+      const std::size_t Index = Runs.size() - 1;
       if (WorkSeconds > 0)
         co_await sleepFor(Loop, WorkSeconds);
+      Runs[Index].IsCut = HasEnded;
+      if (HasEnded)
+        co_return;
       Response.set("X-Response-Signature", "sig-" + Id);
       Response.body() = "answer to " + toText(Request["X-Request-Id"]);
     }
     Response.prepare_payload();
     auto [WriteError, Written] =
-        co_await http::async_write(Stream, Response, UseTaskTuple);
+        co_await http::async_write(*Stream, Response, UseTaskTuple);
     if (WriteError)
       co_return;
   }
@@ -303,7 +336,7 @@
 // Machines.
 
 vm_ports findPorts() {
-  for (int First = 21'000 + (getpid() % 1'000) * 16; First < 60'000;
+  for (int First = 21'000 + (getpid() % 128) * PortsPerFleet; First < 32'000;
        First += PortsPerFleet) {
     bool AllFree = true;
     for (int Offset = 0; AllFree && Offset < PortsPerFleet; ++Offset)
@@ -317,7 +350,8 @@
               .Readiness = Port(1),
               .Directory = Port(2),
               .Internal = Port(4),
-              .Store = Port(3)};
+              .Store = Port(3),
+              .Endpoints = Port(24)};
   }
   return {};
 }
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -66,6 +66,10 @@
   /// Decides about each write of the system.
   std::function<write_fate(const std::string &Method, const std::string &Name)>
       JudgeWrite;
+  /// Whether the store answers no call that it receives now.
+  bool IsSilent = false;
+  /// Whether the answer of a watch that has events is lost.
+  std::function<bool(const std::string &Kind)> LosesWatchAnswer;
 
 private:
   struct change {
@@ -97,9 +101,10 @@
   std::string RequestId;
   std::string Tenant;
   std::string Endpoint;
+  bool IsCut = false; ///< The endpoint ended before it had answered.
 };
 
-/// Endpoints of one service; they share the list of runs.
+/// One endpoint. All endpoints share the list of runs.
 class endpoint {
 public:
   endpoint(boost::asio::io_context &Loop, recorder &Record, std::string Id,
@@ -107,13 +112,15 @@
       : Loop(Loop), Record(Record), Id(std::move(Id)),
         Service(std::move(Service)), WorkSeconds(WorkSeconds), Runs(Runs) {}
 
-  void start(std::uint16_t Port);
+  void start(std::uint16_t ChosenPort);
+  /// Ends the endpoint and closes its connections.
+  void end();
   /// Entry in the store, in kind `servers`.
   json::value entry(const std::string &Zone, const std::string &State) const;
   const std::string &id() const { return Id; }
 
 private:
-  task<void> serve(tcp_stream Stream);
+  task<void> serve(std::shared_ptr<tcp_stream> Stream);
 
   boost::asio::io_context &Loop;
   recorder &Record;
@@ -122,6 +129,9 @@
   double WorkSeconds;
   std::vector<run> &Runs;
   std::uint16_t Port = 0;
+  std::shared_ptr<tcp_acceptor> Acceptor;
+  std::vector<std::weak_ptr<tcp_stream>> Streams;
+  bool HasEnded = false;
 };
 
 /// Ports that all VMs of a deployment use, each at its own address.
@@ -131,6 +141,7 @@
   std::uint16_t Directory = 0;
   std::uint16_t Internal = 0; ///< First of 16 ports.
   std::uint16_t Store = 0;
+  std::uint16_t Endpoints = 0; ///< First of 40 ports.
 };
 
 /// Finds ports that are free at all addresses.
--- a/review/stand_ins/quota_case.cpp
+++ b/review/stand_ins/quota_case.cpp
@@ -57,7 +57,7 @@
       Endpoints.push_back(std::make_unique<endpoint>(
           Loop, Record, "i-" + std::to_string(Index), "huvo11a", 0.02, Runs));
       Endpoints.back()->start(
-          static_cast<std::uint16_t>(Ports.Internal + Index));
+          static_cast<std::uint16_t>(Ports.Endpoints + Index));
       Store.put("servers", Endpoints.back()->id(),
                 Endpoints.back()->entry(Zone, "ready"));
       Vms.push_back(std::make_unique<vm_process>(
