Show that a stopping machine breaks off a request at work

Claim: LOST breaks for an attempt that began just before SIGTERM. It keeps the short time limit of ordinary attempts, is broken off while its endpoint works, and the caller gets a 502 of the machine's own when the second endpoint is full.

--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cpp
@@ -310,15 +310,22 @@
     if (Request["X-Target-Instance"] != Id) {
       Response.result(421);
       Response.set("X-Instance-Id", Id);
+    } else if (IsFull) {
+      Response.result(503);
+      Response.set("X-Not-Executed", "1");
     } else {
+      const double Work = Request["X-Request-Id"].starts_with("slow")
+                              ? SlowWorkSeconds
+                              : WorkSeconds;
       Runs.push_back({.At = secondsNow(),
                       .RequestId = toText(Request["X-Request-Id"]),
                       .Tenant = toText(Request["X-Tenant"]),
-                      .Endpoint = Id});
+                      .Endpoint = Id,
+                      .EndsAt = secondsNow() + Work});
       Record.note("endpoint " + Id + " runs " + Runs.back().RequestId);
       const std::size_t Index = Runs.size() - 1;
-      if (WorkSeconds > 0)
-        co_await sleepFor(Loop, WorkSeconds);
+      if (Work > 0)
+        co_await sleepFor(Loop, Work);
       Runs[Index].IsCut = HasEnded;
       if (HasEnded)
         co_return;
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -101,6 +101,7 @@
   std::string RequestId;
   std::string Tenant;
   std::string Endpoint;
+  double EndsAt = 0;
   bool IsCut = false; ///< The endpoint ended before it had answered.
 };
 
@@ -115,6 +116,10 @@
   void start(std::uint16_t ChosenPort);
   /// Ends the endpoint and closes its connections.
   void end();
+  /// Sets whether the endpoint is full and rejects each request.
+  void setFull(bool IsNowFull) { IsFull = IsNowFull; }
+  /// Sets the work of requests whose id begins with "slow".
+  void setSlowWork(double Seconds) { SlowWorkSeconds = Seconds; }
   /// Entry in the store, in kind `servers`.
   json::value entry(const std::string &Zone, const std::string &State) const;
   const std::string &id() const { return Id; }
@@ -132,6 +137,8 @@
   std::shared_ptr<tcp_acceptor> Acceptor;
   std::vector<std::weak_ptr<tcp_stream>> Streams;
   bool HasEnded = false;
+  bool IsFull = false;
+  double SlowWorkSeconds = 0;
 };
 
 /// Ports that all VMs of a deployment use, each at its own address.
