Count the hosts that limits are divided among in one way

Cause: a limit is either divided or kept whole by its primary, and each VM decided that from the larger of two numbers of hosts, the elected ones and the VMs heard of in the last 10 s. The VM beside the lost one counted six hosts for 10 s, the other data centres five, so the limit was used whole and in shares at the same time. The delay of growing shares was applied before the choice of the form and so did not cover it.

Change: the number of hosts is that of the elected ones everywhere. The share of the whole limit and the reserve shrink at once and grow only after a whole period, so a limit changes its form with less than the whole in use meanwhile. Related: hosts of a data centre without reports were replaced by those of this one, counted again; they now count as the number last reported, and the retry budget is divided by the same number.

--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -11,9 +11,12 @@
 /// Hosts learn of each other's demand and of new hosts at different times. A
 /// share shrinks at once and grows only after the larger share was computed
 /// throughout a whole period, so that at any time the shares in use add up to
-/// one division that all hosts knew.
+/// one division that all hosts knew. The same holds for the reserve, which is
+/// the whole limit while that is not divided: whether a limit is divided
+/// depends on the number of hosts, too.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -78,10 +81,18 @@
 /// VMs of all data centres, in any order.
 struct sharing_vms {
   std::span<const vm_name> Hosts;
+  /// Hosts of data centres that do not report at present.
+  std::size_t SilentHostCount = 0;
   /// Stable hosts; the primary of each account is one of them.
   std::span<const vm_name> StableHosts;
   /// Number of registered VMs, whether they run or not; 0: unknown.
   std::size_t RegisteredCount = 0;
+
+  /// Number of hosts that limits are divided by; at least 1.
+  double hostCount() const {
+    const std::size_t Count = Hosts.size() + SilentHostCount;
+    return static_cast<double>(std::max<std::size_t>(Count, 1));
+  }
 };
 
 class demand_shares {
@@ -122,18 +133,30 @@
     std::map<account_name, double> Weights;
   };
 
-  struct share_in_use {
+  /// A fraction of a limit that shrinks at once and grows after a whole period.
+  struct fraction_in_use {
     double Current = 0;
-    double MinComputed = 0; ///< Smallest share computed in this period.
+    double MinComputed = 0; ///< Smallest fraction computed in this period.
+
+    /// Returns the fraction that may be used now.
+    double update(double Computed);
+    void startPeriod();
+  };
+  struct limit_in_use {
+    fraction_in_use Share;
+    /// Kept on every VM, so that a new primary continues with the fraction that
+    /// all VMs know.
+    fraction_in_use Reserve;
   };
 
   double reportedOwnDemand(const account_name &Account) const;
   /// Computes this VM's share of a limit from the demand of all hosts.
   double computeShare(const account_name &Account, const sharing_vms &Vms,
                       bool IsHost) const;
-  /// Returns the share that may be used now. \p Computed applies at once if it
-  /// is smaller, and after a whole period if it is larger.
-  double limitGrowth(const account_name &Account, double Computed);
+  /// Returns the fractions of an account's limit that are in use; \p Share and
+  /// \p Reserve are used at once if the account is new.
+  limit_in_use &limitInUse(const account_name &Account, double Share,
+                           double Reserve);
   /// Starts a new period of GrowthDelay when the last one is over.
   void startPeriod(instant Now);
   /// Returns how many requests this VM may admit in all until its first shares
@@ -144,8 +167,9 @@
   double localWeight(const account_name &Account) const;
   /// Weight of the other data centres.
   double remoteWeight(const account_name &Account) const;
-  /// Number of hosts with known demand, including this VM.
-  std::size_t knownHostCount() const;
+  /// Number of VMs with known demand, including this VM. They may have ceased
+  /// to be hosts, so this is no number of hosts to divide by.
+  std::size_t reportingVmCount() const;
   void forgetSilent(instant Now);
   /// Whether \p Share of a limit has a burst large enough to be of use.
   bool isDivisible(const rate_limit &Limit, double Share) const {
@@ -163,7 +187,7 @@
   std::map<data_center_name, reported_data_center> DataCenters;
   std::vector<account_demand> OwnDemand;
   std::vector<account_demand> ReportedOwnDemand;
-  std::map<account_name, share_in_use> SharesInUse;
+  std::map<account_name, limit_in_use> LimitsInUse;
   instant PeriodStart{};
   std::optional<instant> FirstDivisionAt; ///< When shares were first computed.
 };
--- a/src/coordination/hosting/host_election.h
+++ b/src/coordination/hosting/host_election.h
@@ -56,6 +56,18 @@
   std::uint64_t Rank = 0; ///< Lower: registered earlier.
 };
 
+/// Hosts of all data centres, as limits are divided among them.
+struct fleet_hosts {
+  std::vector<vm_name> Hosts; ///< Of the data centres that report; no repeats.
+  /// The first hosts of each of these data centres.
+  std::vector<vm_name> StableHosts;
+  /// Hosts of registered data centres without a recent report. They may still
+  /// serve callers, so they keep their part of each limit.
+  std::size_t SilentHostCount = 0;
+
+  std::size_t count() const { return Hosts.size() + SilentHostCount; }
+};
+
 /// Tracks the registered VMs and their last reports, and elects the hosts.
 class host_election {
 public:
@@ -82,6 +94,8 @@
   /// rate.
   std::vector<vm_name> stableHosts(const data_center_name &DataCenter,
                                    instant Now) const;
+  /// Returns the hosts among which limits are divided.
+  fleet_hosts fleetHosts(instant Now) const;
   /// Returns the VMs of another data centre to which this data centre's hosts
   /// are reported.
   std::vector<vm_name> reportRecipients(const data_center_name &DataCenter,
@@ -139,6 +153,9 @@
   /// valid report, the VMs that rank first there while in their grace period.
   std::vector<registered_vm> remoteHosts(const data_center_name &Where,
                                          instant Now) const;
+  /// Returns the number of hosts that another data centre last reported; if it
+  /// never did, the number that its registered VMs allow.
+  std::size_t silentHostCount(const data_center_name &Where) const;
   /// Returns the names of the first MinHosts of \p Vms.
   std::vector<vm_name> firstNames(std::span<const registered_vm> Vms) const;
 
--- a/src/coordination/hosting/internal/demand_shares.cpp
+++ b/src/coordination/hosting/internal/demand_shares.cpp
@@ -18,7 +18,7 @@
 constexpr double IdleWeight = 0.3;
 /// Headroom above a demand, in standard deviations of a Poisson process.
 constexpr double Headroom = 1.5;
-/// Larger than any share; marks a share that was not computed in a period.
+/// Larger than any fraction; marks one that was not computed in a period.
 constexpr double NotComputed = 2;
 
 /// Relative weight of a host with this demand, in requests per second.
@@ -87,11 +87,11 @@
   return Total;
 }
 
-std::size_t demand_shares::knownHostCount() const {
-  std::size_t HostCount = 1 + LocalHosts.size();
+std::size_t demand_shares::reportingVmCount() const {
+  std::size_t Count = 1 + LocalHosts.size();
   for (const auto &[Name, Reported] : DataCenters)
-    HostCount += Reported.Hosts;
-  return HostCount;
+    Count += Reported.Hosts;
+  return Count;
 }
 
 std::vector<account_weight> demand_shares::weights() const {
@@ -137,15 +137,15 @@
                                    const sharing_vms &Vms, bool IsHost) const {
   if (!IsHost)
     return 0;
-  const double KnownHosts = static_cast<double>(knownHostCount());
-  const double HostCount =
-      std::max(static_cast<double>(Vms.Hosts.size()), KnownHosts);
+  const double HostCount = Vms.hostCount();
+  const double ReportingCount = static_cast<double>(reportingVmCount());
+  const double MissingCount = std::max(0.0, HostCount - ReportingCount);
   const double OwnWeight = weightOf(reportedOwnDemand(Account));
   const double KnownWeight =
       OwnWeight + localWeight(Account) + remoteWeight(Account);
   const double TotalWeight =
       KnownWeight +
-      std::max(KnownWeight / KnownHosts, IdleWeight) * (HostCount - KnownHosts);
+      std::max(KnownWeight / ReportingCount, IdleWeight) * MissingCount;
   return Options.EvenShare / HostCount +
          (1 - Options.EvenShare) * OwnWeight / TotalWeight;
 }
@@ -158,29 +158,37 @@
   std::erase_if(DataCenters, IsSilent);
 }
 
+double demand_shares::fraction_in_use::update(double Computed) {
+  MinComputed = std::min(MinComputed, Computed);
+  Current = std::min(Current, Computed);
+  return Current;
+}
+
+void demand_shares::fraction_in_use::startPeriod() {
+  Current = MinComputed;
+  MinComputed = NotComputed;
+}
+
 void demand_shares::startPeriod(instant Now) {
   if (Now - PeriodStart < Options.GrowthDelay)
     return;
   PeriodStart = Now;
-  std::erase_if(SharesInUse, [](const auto &Each) {
-    return Each.second.MinComputed == NotComputed;
+  std::erase_if(LimitsInUse, [](const auto &Each) {
+    return Each.second.Share.MinComputed == NotComputed;
   });
-  for (auto &[Account, Share] : SharesInUse) {
-    Share.Current = Share.MinComputed;
-    Share.MinComputed = NotComputed;
+  for (auto &[Account, InUse] : LimitsInUse) {
+    InUse.Share.startPeriod();
+    InUse.Reserve.startPeriod();
   }
 }
 
-double demand_shares::limitGrowth(const account_name &Account,
-                                  double Computed) {
-  share_in_use &Share =
-      SharesInUse
-          .try_emplace(Account, share_in_use{.Current = Computed,
-                                             .MinComputed = Computed})
-          .first->second;
-  Share.MinComputed = std::min(Share.MinComputed, Computed);
-  Share.Current = std::min(Share.Current, Computed);
-  return Share.Current;
+demand_shares::limit_in_use &
+demand_shares::limitInUse(const account_name &Account, double Share,
+                          double Reserve) {
+  const limit_in_use New{
+      .Share = {.Current = Share, .MinComputed = Share},
+      .Reserve = {.Current = Reserve, .MinComputed = Reserve}};
+  return LimitsInUse.try_emplace(Account, New).first->second;
 }
 
 double demand_shares::startTokens(const rate_limit &Limit,
@@ -203,18 +211,18 @@
   if (!FirstDivisionAt)
     FirstDivisionAt = Now;
   const bool IsHost = std::ranges::find(Vms.Hosts, Self) != Vms.Hosts.end();
-  const auto HostCount =
-      static_cast<double>(std::max(Vms.Hosts.size(), knownHostCount()));
   std::vector<account_limit_share> Shares;
   for (const client_account &Account : Accounts) {
     if (Account.Limit.RequestsPerSecond <= 0)
       continue;
-    const bool IsDivided =
-        isDivisible(Account.Limit, (1 - Options.ReserveShare) / HostCount);
-    const double ReserveShare = IsDivided ? Options.ReserveShare : 1;
-    const double Share =
-        limitGrowth(Account.Name, computeShare(Account.Name, Vms, IsHost)) *
-        (1 - ReserveShare);
+    const bool IsDivided = isDivisible(
+        Account.Limit, (1 - Options.ReserveShare) / Vms.hostCount());
+    const double DueReserve = IsDivided ? Options.ReserveShare : 1;
+    const double DueShare =
+        computeShare(Account.Name, Vms, IsHost) * (1 - DueReserve);
+    limit_in_use &InUse = limitInUse(Account.Name, DueShare, DueReserve);
+    const double Share = InUse.Share.update(DueShare);
+    const double ReserveShare = InUse.Reserve.update(DueReserve);
     const double InitialTokens =
         Options.InitialTolerance * toleranceOf(Account.Limit);
     account_limit_share Each{.Account = Account.Name,
@@ -229,7 +237,7 @@
     if (Each.Primary == Self) {
       Each.Reserve = scaledLimit(Account.Limit, ReserveShare);
       Each.InitialReserveTokens = InitialTokens * ReserveShare;
-      if (!IsDivided) {
+      if (ReserveShare == 1) {
         Each.ReserveWindow = Options.Tolerance.Window;
         Each.ReserveBurstPerWindow =
             std::min(Account.Limit.Burst,
--- a/src/coordination/hosting/internal/host_election.cpp
+++ b/src/coordination/hosting/internal/host_election.cpp
@@ -1,6 +1,7 @@
 #include "coordination/hosting/host_election.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -158,6 +159,28 @@
                                         : remoteHosts(Where, Now));
 }
 
+std::size_t
+host_election::silentHostCount(const data_center_name &Where) const {
+  const auto Last = RemoteDataCenters.find(Where);
+  if (Last != RemoteDataCenters.end() && !Last->second.Hosts.empty())
+    return Last->second.Hosts.size();
+  return std::min(Options.MinHosts, ranked(Where).size());
+}
+
+fleet_hosts host_election::fleetHosts(instant Now) const {
+  fleet_hosts Fleet;
+  for (const data_center_name &Each : dataCenters()) {
+    const std::vector<registered_vm> Found =
+        Each == DataCenter ? firstEligible(0, Now) : remoteHosts(Each, Now);
+    for (const registered_vm &Vm : Found)
+      Fleet.Hosts.push_back(Vm.Vm);
+    std::ranges::move(firstNames(Found), std::back_inserter(Fleet.StableHosts));
+    if (Found.empty() && Each != DataCenter)
+      Fleet.SilentHostCount += silentHostCount(Each);
+  }
+  return Fleet;
+}
+
 std::vector<vm_name>
 host_election::reportRecipients(const data_center_name &Where,
                                 instant Now) const {
--- a/src/coordination/hosting/tests/demand_shares_test.cpp
+++ b/src/coordination/hosting/tests/demand_shares_test.cpp
@@ -1,6 +1,8 @@
 #include "coordination/hosting/demand_shares.h"
 
+#include <algorithm>
 #include <cmath>
+#include <map>
 
 #include <doctest/doctest.h>
 
@@ -63,6 +65,118 @@
   std::vector<demand_shares> Hosts;
 };
 
+// Pattern: two hosts in each of three data centres, and limits so small that
+// the number of hosts decides whether they are divided. Hosts learn at
+// different times that one of them was lost or has come back.
+struct host_loss_fixture : demand_shares_fixture {
+  static constexpr std::size_t Lost = 2;
+  static constexpr double RatePerSecond = 18;
+  static constexpr double SmallMaxAllowed =
+      (RatePerSecond * 5 + RatePerSecond) * 1.1 + 20;
+  static constexpr std::chrono::milliseconds Tick{100};
+
+  host_loss_fixture() {
+    Accounts.clear();
+    for (int Index = 0; Index < 12; ++Index)
+      Accounts.push_back(
+          {.Name = account_name("account-" + std::to_string(Index)),
+           .Limit = {.RequestsPerSecond = RatePerSecond,
+                     .Burst = RatePerSecond}});
+    Knows.assign(HostCount, false);
+    settle();
+  }
+
+  static std::size_t dataCenterOf(std::size_t Host) { return Host / 2; }
+
+  std::vector<vm_name> hostsKnownTo(std::size_t Host) const {
+    std::vector<vm_name> Known = Names;
+    if (Knows[Host])
+      std::erase(Known, Names[Lost]);
+    return Known;
+  }
+
+  bool isRunning(std::size_t Host) const { return !IsLost || Host != Lost; }
+
+  void exchangeAllReports() {
+    for (std::size_t From = 0; From < HostCount; ++From) {
+      if (!isRunning(From))
+        continue;
+      data_center_report Report{.DataCenter = data_center_name(
+                                    "dc-" + std::to_string(dataCenterOf(From))),
+                                .Weights = Hosts[From].weights()};
+      for (const vm_name &Name : hostsKnownTo(From))
+        if (dataCenterOf(indexOf(Name)) == dataCenterOf(From))
+          Report.Hosts.push_back(Name);
+      for (std::size_t To = 0; To < HostCount; ++To)
+        if (To != From && dataCenterOf(To) == dataCenterOf(From))
+          Hosts[To].recordReport(Names[From], Hosts[From].ownDemand(), Now);
+        else if (dataCenterOf(To) != dataCenterOf(From))
+          Hosts[To].recordReport(Report, Now);
+    }
+  }
+
+  std::size_t indexOf(const vm_name &Name) const {
+    return static_cast<std::size_t>(std::ranges::find(Names, Name) -
+                                    Names.begin());
+  }
+
+  /// Returns the most that the running hosts together admit of an account in
+  /// one window by the shares in use now.
+  double maxAdmittedOfAnyAccount() {
+    std::map<account_name, double> Admitted;
+    for (std::size_t Host = 0; Host < HostCount; ++Host) {
+      if (!isRunning(Host))
+        continue;
+      const std::vector<vm_name> Known = hostsKnownTo(Host);
+      std::vector<vm_name> Stable = Known;
+      if (HasReturned)
+        std::erase(Stable, Names[Lost]);
+      for (const account_limit_share &Each :
+           Hosts[Host].shares(Accounts, {.Hosts = Known, .StableHosts = Stable},
+                              Names[Host], Now))
+        for (const rate_limit &Limit : {Each.Limit, Each.Reserve})
+          Admitted[Each.Account] += Limit.Burst + Limit.RequestsPerSecond * 5;
+    }
+    double Max = 0;
+    for (const auto &[Account, Count] : Admitted)
+      Max = std::max(Max, Count);
+    return Max;
+  }
+
+  /// Lets \p Time pass; each host learns of the change \p Delays after now.
+  void pass(duration Time, const std::vector<duration> &Delays, bool Learns) {
+    const instant Begin = Now;
+    for (; Now - Begin < Time; Now += Tick) {
+      for (std::size_t Host = 0; Host < HostCount; ++Host)
+        if (Now - Begin >= Delays[Host])
+          Knows[Host] = Learns;
+      exchangeAllReports();
+      const double Max = maxAdmittedOfAnyAccount();
+      CAPTURE((Now - Begin).count());
+      CHECK(Max <= SmallMaxAllowed);
+      LastMax = Max;
+    }
+  }
+
+  void settle() {
+    pass(std::chrono::seconds(6), std::vector<duration>(HostCount, duration{0}),
+         false);
+  }
+
+  /// Starts the lost host again, without anything from before; its new
+  /// registration ranks behind those of the stable hosts.
+  void restartLost() {
+    Hosts[Lost] = demand_shares({.Tolerance = Tolerance});
+    IsLost = false;
+    HasReturned = true;
+  }
+
+  bool IsLost = false;
+  bool HasReturned = false;
+  std::vector<bool> Knows; ///< Whether each host knows of the loss.
+  double LastMax = 0;
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(demand_shares_fixture,
@@ -175,6 +289,52 @@
   CHECK(Rate == doctest::Approx(61));
 }
 
+// Guards against a limit that is used whole by its primary and in shares by the
+// other hosts, as these count the hosts differently after a loss.
+TEST_CASE_FIXTURE(host_loss_fixture,
+                  "shares_hostLost_limitNotUsedWholeAndDivided") {
+  IsLost = true;
+  using std::chrono::milliseconds;
+  pass(std::chrono::seconds(12),
+       {milliseconds(2'200), milliseconds(2'400), milliseconds(0),
+        milliseconds(1'600), milliseconds(2'700), milliseconds(2'000)},
+       true);
+  CHECK(LastMax >= RatePerSecond * 5);
+}
+
+// The same switch in the other direction: the primary must not use the whole
+// limit while hosts that still count one host less have shares of it.
+TEST_CASE_FIXTURE(host_loss_fixture,
+                  "shares_hostReturns_limitNotUsedWholeAndDivided") {
+  IsLost = true;
+  pass(std::chrono::seconds(12), std::vector<duration>(HostCount, duration{0}),
+       true);
+  restartLost();
+  using std::chrono::milliseconds;
+  pass(std::chrono::seconds(12),
+       {milliseconds(900), milliseconds(0), milliseconds(0), milliseconds(400),
+        milliseconds(1'200), milliseconds(1'000)},
+       false);
+  CHECK(LastMax >= RatePerSecond * 5);
+}
+
+// A planned stop: the host itself is the first to know, and its last report
+// stays valid for seconds.
+TEST_CASE_FIXTURE(host_loss_fixture,
+                  "shares_hostLeaves_limitNotUsedWholeAndDivided") {
+  using std::chrono::milliseconds;
+  pass(milliseconds(200),
+       {milliseconds(200), milliseconds(200), milliseconds(0), milliseconds(0),
+        milliseconds(200), milliseconds(200)},
+       true);
+  IsLost = true;
+  pass(std::chrono::seconds(12),
+       {milliseconds(300), milliseconds(500), milliseconds(0), milliseconds(0),
+        milliseconds(800), milliseconds(700)},
+       true);
+  CHECK(LastMax >= RatePerSecond * 5);
+}
+
 TEST_CASE_FIXTURE(demand_shares_fixture, "shares_vmIsNoHost_empty") {
   exchangeReports();
   const auto Shares = Hosts[0].shares(Accounts, vms(), vm_name("stray"), Now);
--- a/src/coordination/hosting/tests/host_election_test.cpp
+++ b/src/coordination/hosting/tests/host_election_test.cpp
@@ -190,3 +190,24 @@
   Election.setRegisteredVms(Vms, Now);
   CHECK(hosts() == "second third ");
 }
+
+// Guards against hosts of this data centre that are counted again in place of
+// those of a data centre without reports.
+TEST_CASE_FIXTURE(host_election_fixture,
+                  "fleetHosts_silentDataCenter_lastHostsCountedOnce") {
+  Election.setRegisteredVms(
+      std::vector<ranked_vm>{
+          make("self", 1), make("other", 2), make("far-1", 3, "lakes-b"),
+          make("far-2", 4, "lakes-b"), make("far-3", 5, "lakes-b")},
+      Now);
+  receiveReport("other");
+  receiveRemoteReport({"far-1", "far-2", "far-3"});
+  CHECK(Election.fleetHosts(Now).Hosts.size() == 5);
+  CHECK(Election.fleetHosts(Now).StableHosts.size() == 4);
+  Now += std::chrono::seconds(5);
+  receiveReport("other");
+  const fleet_hosts Fleet = Election.fleetHosts(Now);
+  CHECK(Fleet.Hosts == std::vector<vm_name>{vm_name("self"), vm_name("other")});
+  CHECK(Fleet.SilentHostCount == 3);
+  CHECK(Fleet.count() == 5);
+}
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -111,24 +111,18 @@
   const auto NewDemands = Buckets.takeDemand(
       std::max<duration>(Now - LastTick, std::chrono::milliseconds(1)));
   Demands.recordDemand(NewDemands);
-  const std::size_t PreviousCount = Hosts.size();
-  Hosts.clear();
-  StableHosts.clear();
-  for (const data_center_name &Each : Election.dataCenters()) {
-    for (const registered_vm &Vm : Election.hosts(Each, Now))
-      Hosts.push_back(Vm.Vm);
-    for (vm_name &Vm : Election.stableHosts(Each, Now))
-      StableHosts.push_back(std::move(Vm));
-  }
+  const std::size_t PreviousCount = Fleet.count();
+  Fleet = Election.fleetHosts(Now);
   const configuration_ptr &Current = Services.Snapshots.current().Configuration;
   if (Current)
     Buckets.configure(Demands.shares(Current->configuration().Accounts,
-                                     {.Hosts = Hosts,
-                                      .StableHosts = StableHosts,
+                                     {.Hosts = Fleet.Hosts,
+                                      .SilentHostCount = Fleet.SilentHostCount,
+                                      .StableHosts = Fleet.StableHosts,
                                       .RegisteredCount = RegisteredVms.size()},
                                      Services.Self.Vm, Now),
                       Now);
-  if (Hosts.size() != PreviousCount)
+  if (Fleet.count() != PreviousCount)
     updateRetryBudgets();
 }
 
@@ -145,7 +139,7 @@
 
 void hosting_driver::updateRetryBudgets() {
   const double Count =
-      static_cast<double>(std::max<std::size_t>(Hosts.size(), 1));
+      static_cast<double>(std::max<std::size_t>(Fleet.count(), 1));
   for (const auto &Worker : Services.Workers)
     Worker->configureRetries(
         {.RetriesPerSuccess = 0,
@@ -257,7 +251,7 @@
 }
 
 void hosting_driver::requestGrant(const account_name &Account) {
-  const vm_name Primary = primaryOf(Account, StableHosts);
+  const vm_name Primary = primaryOf(Account, Fleet.StableHosts);
   if (!Primary.empty() && Primary != Services.Self.Vm)
     send(Primary, reserve_request{.Account = Account, .Requests = 1});
 }
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -76,10 +76,9 @@
   timer_subscription Timer;
   instant LastTick{};
   std::uint64_t Ticks = 0;
-  std::vector<vm_name> Hosts; ///< Hosts of all data centres.
-  /// Stable hosts of all data centres; accounts have their primaries among
-  /// them.
-  std::vector<vm_name> StableHosts;
+  /// Limits are divided among these; accounts have their primaries among the
+  /// stable hosts.
+  fleet_hosts Fleet;
   bool IsHost = false;
   bool IsLeaving = false;
   bool HasShares = false; ///< Shares were computed for a first configuration.
