Ask whether an attempt may be left when its time limit ends

Cause: a repeatable request leaves a target whose response is late for another one. A VM that leaves does not do so, but that was asked when the attempt began: the limit was set as the connection's timeout, which cannot be changed while an operation is pending.

Evidence: node_beginsToLeaveDuringAttempt_slowTargetNotLeftWhileAtWork fails on the program of: 23 executions where 22 are allowed.

Change: the connection has the request's deadline as its timeout. The earlier limit is a timer of its own, which asks at its end whether the VM leaves.

--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -49,7 +49,11 @@
       Dialect.CallerSetsAttemptId
           ? std::string(Request.get()[toBeast(Dialect.AttemptField)])
           : std::to_string(Worker.random());
-  Connection->Stream.expires_at(ResponseHeadDeadline);
+  Connection->Stream.expires_at(Deadline);
+  // A VM that began to leave does not break off an attempt that a target may be
+  // working on.
+  ResponseTimer.start(Connection->Stream, RetryTime,
+                      [this] { return !isLeaving(); });
   co_await sendRequest(*Connection, Target.Name.view(), Admitted, Result);
   bool Reusable = false;
   if (!Result.Error && !Result.Cause && !Result.CallerDisconnected) {
@@ -59,6 +63,9 @@
     Result.CallerDisconnected = Watch.hasCallerDisconnected();
     Watch.disarm();
   }
+  ResponseTimer.stop();
+  if (Result.Error && ResponseTimer.hasFired())
+    Result.Error = boost::beast::error::timeout;
   if (Result.Error)
     Result.Detail =
         "target " + Target.Name.str() + ": " + Result.Error.message();
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -98,7 +98,7 @@
   if (const auto Error = co_await readResponseHead(Connection, Buffer, Response,
                                                    *Admitted.Service, Result))
     co_return Error;
-  Connection.Stream.expires_at(Deadline);
+  ResponseTimer.stop();
   Result.HeadReceivedAt = bootNow();
   Result.Status = Response->get().result_int();
   Result.Report = Worker.dialect().ReadReport(Response->get(), Result.Status);
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -91,7 +91,7 @@
     const target *Target = choose(Admitted, *Snapshot);
     if (!Target)
       break;
-    ResponseHeadDeadline = responseHeadDeadline(*Admitted.Route, Retries);
+    RetryTime = retryTime(*Admitted.Route, Retries);
     attempt_result Result = co_await attemptAndObserve(*Target, Admitted);
     if (Result.IsComplete)
       Retries.recordSuccess();
@@ -134,19 +134,19 @@
                          .KeepCallerConnection = canKeepCallerConnection()};
 }
 
-std::chrono::steady_clock::time_point
-request_relay::responseHeadDeadline(const route &Route,
-                                    const retry_budget &Retries) const {
+std::optional<std::chrono::steady_clock::time_point>
+request_relay::retryTime(const route &Route,
+                         const retry_budget &Retries) const {
   const duration TypicalLatency =
       Worker.routeStatistics().typicalLatency(Route);
-  // A leaving VM does not abort an attempt that a target may be working on.
   if (isLeaving() || !Route.IsRepeatable ||
       ConnectedAttempts + 1 >= Route.MaxAttempts || !Retries.hasRetry() ||
       !Request.is_done() || TypicalLatency == duration{0})
-    return Deadline;
+    return std::nullopt;
   const auto ResponseTimeout = std::max<duration>(
       TypicalLatency * TypicalLatencyFactor, MinResponseTimeout);
-  return std::min(Deadline, std::chrono::steady_clock::now() + ResponseTimeout);
+  const auto Time = std::chrono::steady_clock::now() + ResponseTimeout;
+  return Time < Deadline ? std::optional(Time) : std::nullopt;
 }
 
 bool request_relay::prepareRetry(attempt_result &Result,
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -9,6 +9,7 @@
 #include "protocol/http/header_rules.h"
 #include "transport/callers/internal/body_relay.h"
 #include "transport/callers/internal/caller_session.h"
+#include "transport/callers/internal/response_timer.h"
 
 namespace peridot {
 
@@ -43,7 +44,7 @@
                 boost::beast::flat_buffer &CallerBuffer,
                 caller_request_parser &Request, relay_watch &Watch)
       : Worker(Worker), Caller(Caller), CallerBuffer(CallerBuffer),
-        Request(Request), Watch(Watch) {}
+        Request(Request), Watch(Watch), ResponseTimer(Worker.loop()) {}
 
   /// \p Admitted points into a configuration that must outlive the relay.
   task<relay_result> run(const admitted_request &Admitted);
@@ -86,9 +87,10 @@
   /// Makes one attempt, logs it and records what it shows about the target.
   task<attempt_result> attemptAndObserve(const target &Target,
                                          const admitted_request &Admitted);
-  /// Returns the deadline for the response head of the next attempt.
-  std::chrono::steady_clock::time_point
-  responseHeadDeadline(const route &Route, const retry_budget &Retries) const;
+  /// Returns when the next attempt is given up for another one if its response
+  /// has not begun; empty if no other attempt may follow.
+  std::optional<std::chrono::steady_clock::time_point>
+  retryTime(const route &Route, const retry_budget &Retries) const;
   /// Records the result of an attempt for finishRequest(), and charges a retry
   /// to the budget where due.
   /// \returns whether to make another attempt.
@@ -184,8 +186,10 @@
   bool CallerGotBytes = false;
   bool SentKeepAlive = false; ///< The response head announced keep-alive.
   std::chrono::steady_clock::time_point Deadline{};
-  /// Deadline of the current attempt until its response head is received.
-  std::chrono::steady_clock::time_point ResponseHeadDeadline{};
+  /// When the current attempt is given up for another one, if it may be.
+  std::optional<std::chrono::steady_clock::time_point> RetryTime;
+  /// Closes the current attempt's connection at RetryTime.
+  response_timer ResponseTimer;
 };
 
 } // namespace peridot
--- a/tests/integration/store_attempts_test.cpp
+++ b/tests/integration/store_attempts_test.cpp
@@ -130,6 +130,25 @@
   CHECK(countExecutions() == Before + 1);
 }
 
+// Guards against an attempt that keeps the time limit which it got before the
+// VM began to leave: the target at work must not be left for another one.
+TEST_CASE_FIXTURE(
+    store_attempts_fixture,
+    "node_beginsToLeaveDuringAttempt_slowTargetNotLeftWhileAtWork") {
+  REQUIRE(countServedWithin(1s, "/logs/1", 20) == 20);
+  for (const auto &Each : Targets)
+    Each->Target.setBehaviour("delay_ms=900");
+  const int Before = countExecutions();
+  bool IsServed = false;
+  std::thread Caller([&] { IsServed = requestSucceeds("/logs/1"); });
+  awaitCondition("the request to run",
+                 [&] { return countExecutions() > Before; });
+  Nodes.front()->Node.Process->signal(SIGTERM);
+  Caller.join();
+  CHECK(IsServed);
+  CHECK(countExecutions() == Before + 1);
+}
+
 // Guards against a second attempt that goes by the targets known when the
 // request came. The second attempt comes after four times the delay, 1.6 s; the
 // node reads changes shortly after each other together, 300 ms later.
