Look for missed changes of the store in each collection

Cause: a watcher compared the store's position with the highest position of all three collections. A later change of the configuration moved that past the missed change of the targets.

Change: each collection is compared by its own position. It is listed unless every revision up to the store's position was read with some collection, so a change of another collection costs no list. Related: the list of VMs was not compared at all, so that a new VM could stay unknown for 10 s. The stand-in can make the watches of one kind deaf, and keep writes back.

--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -183,6 +183,7 @@
     co_return true;
   }
   const bool Current = Freshness == read_freshness::Current;
+  recordStorePosition(Items->Position);
   if (!Progress.accepts(Items->Position))
     co_return true; // Relayed changes have already brought the copy further.
   std::optional<store_changes> Relayed;
@@ -220,6 +221,8 @@
   if (Items) {
     // The position stays unchanged, so that the next result of the watch
     // follows on its last one without a gap.
+    for (const store_item &Item : Items->Items)
+      SeenRevisions.record(Item.Revision);
     const bool IsNewer = applyConfiguration(*Items);
     recordStorePosition(Items->Position);
     updateKeysConfirmedAt(StartedAt);
@@ -262,6 +265,8 @@
 
 bool store_follower::apply(fleet_collection Collection,
                            const store_items &Items, bool IsList) {
+  for (const store_item &Item : Items.Items)
+    SeenRevisions.record(Item.Revision);
   for (const store_item &Item : Items.Items)
     if (const auto *Unreadable = std::get_if<unreadable_content>(&Item.Content);
         Unreadable && !Item.IsRemoved)
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "coordination/registry/collection_sync.h"
+#include "coordination/registry/seen_revisions.h"
 #include "coordination/registry/types/store_messages.h"
 #include "transport/node/control_context.h"
 #include "transport/node/internal/store_archive.h"
@@ -113,8 +114,8 @@
   void compareWithPeers();
   /// Records that the history of the store reaches \p Position.
   void recordStorePosition(std::uint64_t Position);
-  /// Marks the targets for a list if the store has changes that the watches of
-  /// this VM did not deliver.
+  /// Marks for a list each collection that may lack a change of the store, as
+  /// the watches of this VM did not deliver all of them.
   void compareWithStore();
 
   /// \returns whether the collection changed.
@@ -145,7 +146,9 @@
   store_archive Archive;
   /// Timers of fetchFromPeers(), by collection; null while it does not wait.
   std::array<boost::asio::steady_timer *, 3> SnapshotWaits{};
-  /// Position of the store at the last read of the configuration.
+  /// Changes that were read, of all collections.
+  seen_revisions SeenRevisions;
+  /// Highest position of the store that a call has shown.
   std::uint64_t StorePosition = 0;
   /// StorePosition at the last comparison.
   std::uint64_t ExpectedStorePosition = 0;
--- a/src/transport/node/internal/store_follower_peers.cpp
+++ b/src/transport/node/internal/store_follower_peers.cpp
@@ -56,12 +56,12 @@
 }
 
 void store_follower::compareWithStore() {
-  std::uint64_t Highest = 0;
-  for (const collection_sync &Each : Sync)
-    Highest = std::max(Highest, Each.position());
-  // A change of another collection moves the position of that collection.
-  if (IsWatcher && ExpectedStorePosition > Highest)
-    syncOf(fleet_collection::Targets).recordUndelivered();
+  // The configuration is read again anyway, to confirm the keys.
+  if (IsWatcher)
+    for (const fleet_collection Each :
+         {fleet_collection::Targets, fleet_collection::Vms})
+      if (!SeenRevisions.coverRange(position(Each), ExpectedStorePosition))
+        syncOf(Each).recordUndelivered();
   ExpectedStorePosition = StorePosition;
 }
 
@@ -69,13 +69,14 @@
   // Reports of other VMs may have become too old.
   if (!IsReachable)
     WakeTimer.cancel();
+  std::array<bool, AllCollections.size()> NeededList{};
+  for (const fleet_collection Each : AllCollections)
+    NeededList[static_cast<std::size_t>(Each)] = syncOf(Each).needsList();
+  compareWithStore();
   for (const fleet_collection Each : AllCollections) {
     collection_sync &Progress = syncOf(Each);
-    const bool NeededList = Progress.needsList();
     Progress.compareWithPeers();
-    if (Each == fleet_collection::Targets)
-      compareWithStore();
-    if (NeededList || !Progress.needsList())
+    if (NeededList[static_cast<std::size_t>(Each)] || !Progress.needsList())
       continue;
     logEvent(log_level::Info, "store-changes-missing",
              {{"collection", nameOf(Each)},
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -284,6 +284,37 @@
     CHECK(countServedElsewhere(Node, 20) == 20);
 }
 
+// Guards against a missed change of the targets that a later change of another
+// collection hides, as that moves the highest position that is known.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "nodes_noTargetEventsThenNewConfiguration_"
+                  "drainingAppliedWithinTwoSeconds") {
+  awaitSettled();
+  setPlatformFaults("deaf_kind=servers");
+  registerTarget(*Targets[0], "draining");
+  writeConfiguration(2, {Keepers});
+  std::this_thread::sleep_for(2s);
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+    CHECK(countServedElsewhere(Node, 20) == 20);
+}
+
+// The same for the list of VMs: a watch that delivers nothing must not hide a
+// new VM from the others.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "nodes_noVmEvents_newVmKnownWithinTwoSeconds") {
+  awaitSettled();
+  setPlatformFaults("deaf_kind=peridot-vms");
+  const std::size_t Before = Nodes.size();
+  addNode("vm-5", "lakes-a");
+  Nodes.back()->Node.Process->awaitLine("\"registered\"");
+  std::this_thread::sleep_for(2s);
+  for (std::size_t Node = 0; Node < Before; ++Node)
+    CHECK(
+        jsonInteger(
+            httpCall(Nodes[Node]->Node.OperatorPort, {.Path = "/status"}).Body,
+            "vms_listed") == 5);
+}
+
 // Guards against a VM that learns after a restart from its peers, or from a
 // late response, of a key that was revoked or a target that has left.
 TEST_CASE_FIXTURE(object_platform_fixture,
--- a/tests/stand_ins/object_platform/main.cpp
+++ b/tests/stand_ins/object_platform/main.cpp
@@ -2,6 +2,10 @@
 /// Stand-in for an object platform such as Hivecrest's. It lists, watches,
 /// creates, replaces and removes objects; tests set faults under /admin/faults.
 
+#include <map>
+#include <utility>
+#include <vector>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <gflags/gflags.h>
@@ -30,6 +34,8 @@
   std::chrono::milliseconds Delay{0};
   /// Number of writes that are applied but get no response.
   unsigned ResponsesToLose = 0;
+  /// Keeps writes of nodes back, without a response, until "release" is set.
+  bool HoldsWrites = false;
 };
 
 bool isSet(std::string_view Target, std::string_view Name) {
@@ -54,6 +60,10 @@
       co_return Result;
     }
     ++CallCount;
+    if (!IsRead && Faults.HoldsWrites) {
+      HeldWrites.push_back(Request);
+      co_await pause(SilentDelay);
+    }
     co_await pause(Faults.IsSilent ? SilentDelay : Faults.Delay);
     if (Faults.IsDown) {
       Result.Response = textResponse(503, "{}");
@@ -118,12 +128,13 @@
     const std::chrono::milliseconds Wait(
         std::stoul(queryValue(Target, "wait-ms", "0")));
     const auto Deadline = std::chrono::steady_clock::now() + Wait;
-    const unsigned Generation = DeafGeneration;
+    const unsigned &KindGeneration = DeafGenerations[Kind];
+    const unsigned Generation = KindGeneration;
     std::optional<http_response> Response;
     while (!Response) {
       co_await pause(WatchPollInterval);
       Response =
-          pollWatch(Kind, std::stoull(After), Generation != DeafGeneration,
+          pollWatch(Kind, std::stoull(After), Generation != KindGeneration,
                     std::chrono::steady_clock::now() >= Deadline);
     }
     co_return std::move(*Response);
@@ -131,17 +142,48 @@
 
   http_response write(const http_request &Request, const std::string &Target) {
     const auto [Kind, Name] = parse(Target);
-    if (Request.method() == http::verb::delete_)
+    const json::value *Stored = Objects.find(Kind, Name);
+    if (Request.method() == http::verb::delete_) {
+      if (Stored &&
+          !isConditionMet(queryValue(Target, "revision", ""), *Stored))
+        return conflict(*Stored);
       return textResponse(Objects.remove(Kind, Name) ? 200 : 404, "{}");
+    }
     json::value Body = json::parse(Request.body());
+    if (Stored && !isConditionMet(revisionIn(Body), *Stored))
+      return conflict(*Stored);
     if (Request.method() == http::verb::put)
       return jsonResponse(Objects.replace(Kind, Name, std::move(Body)));
     const std::string CreatedName(Body.at("metadata").at("name").as_string());
-    if (auto Stored = Objects.create(Kind, std::move(Body)))
-      return jsonResponse(*Stored);
-    http_response Conflict = jsonResponse(*Objects.find(Kind, CreatedName));
-    Conflict.result(http::status::conflict);
-    return Conflict;
+    if (auto Created = Objects.create(Kind, std::move(Body)))
+      return jsonResponse(*Created);
+    return conflict(*Objects.find(Kind, CreatedName));
+  }
+
+  static http_response conflict(const json::value &Stored) {
+    http_response Response = jsonResponse(Stored);
+    Response.result(http::status::conflict);
+    return Response;
+  }
+
+  /// Returns the revision in an object's metadata; empty if it has none.
+  static std::string revisionIn(const json::value &Object) {
+    const json::value *Metadata = Object.as_object().if_contains("metadata");
+    const json::value *Revision =
+        Metadata ? Metadata->as_object().if_contains("revision") : nullptr;
+    return Revision ? json::serialize(*Revision) : "";
+  }
+
+  /// \param Condition revision that the object must have; empty: any.
+  static bool isConditionMet(const std::string &Condition,
+                             const json::value &Stored) {
+    return Condition.empty() || Condition == revisionIn(Stored);
+  }
+
+  /// Carries out the writes that were kept back; their callers have left.
+  void releaseWrites() {
+    for (const http_request &Each : std::exchange(HeldWrites, {}))
+      write(Each, std::string(Each.target()));
   }
 
   static http_response jsonResponse(const json::value &Body) {
@@ -156,9 +198,14 @@
               .Delay = std::chrono::milliseconds(
                   std::stoul(queryValue(Target, "delay_ms", "0"))),
               .ResponsesToLose = static_cast<unsigned>(
-                  std::stoul(queryValue(Target, "lose_answers", "0")))};
-    if (isSet(Target, "deaf"))
-      ++DeafGeneration;
+                  std::stoul(queryValue(Target, "lose_answers", "0"))),
+              .HoldsWrites = isSet(Target, "hold_writes")};
+    if (isSet(Target, "release"))
+      releaseWrites();
+    const std::string DeafKind = queryValue(Target, "deaf_kind", "");
+    for (auto &[Kind, Generation] : DeafGenerations)
+      if (isSet(Target, "deaf") || Kind == DeafKind)
+        ++Generation;
     if (isSet(Target, "forget"))
       Objects.discardHistory();
     return textResponse(200, "");
@@ -167,8 +214,10 @@
   boost::asio::io_context &Loop;
   object_history Objects;
   store_faults Faults;
-  /// Incremented by the fault "deaf"; watches started earlier get no events.
-  unsigned DeafGeneration = 0;
+  std::vector<http_request> HeldWrites;
+  /// By kind; incremented by the faults "deaf" (all kinds) and "deaf_kind" (one
+  /// kind). Watches started earlier get no events.
+  std::map<std::string, unsigned> DeafGenerations;
   std::uint64_t CallCount = 0;
 };
 
