Keep late calls of an earlier process off a VM's entry

Cause: a leaving VM removed its entry by name only, and the store carried that out after the next process had registered. A VM registered once and did not notice that its entry was gone; without an entry it is no host, and without hosts no account has a primary.

A VM whose entry is missing from a later list, or is that of an earlier process, registers again.

--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -221,6 +221,11 @@
   updateHosting(Now);
 }
 
+const ranked_vm *hosting_driver::findRegistered(const vm_name &Vm) const {
+  const auto Found = RegisteredVms.find(Vm);
+  return Found == RegisteredVms.end() ? nullptr : &Found->second;
+}
+
 std::vector<vm_address>
 hosting_driver::addressesFor(const data_center_name &DataCenter) const {
   std::vector<vm_address> Addresses;
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -31,6 +31,8 @@
   addressesFor(const data_center_name &DataCenter) const;
   /// Returns the VMs of this data centre, largest spare capacity first.
   std::vector<vm_name> ranking() const { return Election.ranking(); }
+  /// Returns a VM's entry in the list; null if it has none.
+  const ranked_vm *findRegistered(const vm_name &Vm) const;
   bool isHost() const { return IsHost; }
   std::size_t registeredVmCount() const { return RegisteredVms.size(); }
 
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -75,6 +75,7 @@
           [this](const store_items &Items, bool IsList) {
             findFleetKey(Items);
             Hosting.apply(Items, IsList);
+            checkRegistration(Items.Position);
             Relay.setRanking(Hosting.ranking());
           },
           [this](const store_changes &Changes) { Relay.relay(Changes); },
@@ -86,12 +87,12 @@
           endpointOf(Services.Settings.ListenAddress,
                      Services.Settings.DirectoryPort),
           [this](const operator_request &Request) { return respond(Request); }),
-      Readiness(Services.Loop,
-                endpointOf(Services.Settings.ListenAddress,
-                           Services.Settings.ReadinessPort),
-                [this](const operator_request &Request) {
-                  return respond(Request);
-                }) {}
+      Readiness(
+          Services.Loop,
+          endpointOf(Services.Settings.ListenAddress,
+                     Services.Settings.ReadinessPort),
+          [this](const operator_request &Request) { return respond(Request); }),
+      Registration(Services.Self.Incarnation) {}
 
 result<void> store_control::listen() {
   if (const auto Port = Directory.listen(); !Port)
@@ -168,21 +169,49 @@
                                capacityOf(Settings.Resources)};
   asio::steady_timer RetryTimer(Services.Loop);
   std::chrono::milliseconds RetryDelay = InitialJoinRetryDelay;
-  while (true) {
-    const auto Registered = co_await Store.Register(Self);
-    if (Registered)
+  IsRegistering = true;
+  while (!IsLeaving) {
+    const auto Revision = co_await Store.Register(Self);
+    if (Revision) {
+      Registration.recordConfirmed(*Revision);
+      logEvent(log_level::Info, "registered",
+               {{"data_center", Settings.DataCenter.view()}});
       break;
-    logError("registration-failed", Registered.error());
+    }
+    logError("registration-failed", Revision.error());
     RetryTimer.expires_after(RetryDelay);
     co_await RetryTimer.async_wait(UseTaskTuple);
     RetryDelay = std::min(MaxJoinRetryDelay, RetryDelay * 2);
   }
-  logEvent(log_level::Info, "registered",
-           {{"data_center", Settings.DataCenter.view()}});
+  IsRegistering = false;
+  // This process may have begun to leave while the call was under way.
+  if (IsLeaving)
+    co_await unregister();
+}
+
+void store_control::checkRegistration(std::uint64_t Position) {
+  const ranked_vm *Listed = Hosting.findRegistered(Services.Self.Vm);
+  const registration_state State = Registration.recordListed(
+      Listed ? std::optional(
+                   listed_registration{.Incarnation = Listed->Vm.Incarnation,
+                                       .Revision = Listed->Rank})
+             : std::nullopt,
+      Position);
+  if (State != registration_state::Lost || IsRegistering || IsLeaving)
+    return;
+  logEvent(log_level::Warning, "registration-lost",
+           {{"position", static_cast<std::int64_t>(Position)},
+            {"cause", Listed ? "the entry is that of an earlier process"
+                             : "the entry was removed"}});
+  asio::co_spawn(Services.Loop, registerSelf(), asio::detached);
 }
 
 task<void> store_control::unregister() {
-  const auto Unregistered = co_await Store.Unregister(Services.Settings.Vm);
+  const auto Revision = Registration.revision();
+  if (!Revision || IsRegistering)
+    co_return;
+  const auto Unregistered =
+      co_await Store.Unregister(Services.Settings.Vm, *Revision);
   if (!Unregistered)
     logError("unregistration-failed", Unregistered.error());
 }
@@ -197,6 +226,7 @@
   Services.Snapshots.update(
       [](routing_snapshot &Snapshot) { Snapshot.Leaving = true; });
   Hosting.leave();
+  IsLeaving = true;
   asio::co_spawn(Services.Loop, unregister(), asio::detached);
 }
 
--- a/src/transport/node/internal/store_control.h
+++ b/src/transport/node/internal/store_control.h
@@ -2,6 +2,7 @@
 /// The control plane on a platform whose store holds configuration and targets.
 #pragma once
 
+#include "coordination/registry/registration_monitor.h"
 #include "transport/node/internal/hosting_driver.h"
 #include "transport/node/internal/store_follower.h"
 #include "transport/node/internal/store_relay.h"
@@ -35,7 +36,11 @@
   void setFleetKey(const fleet_key &Key);
   /// Creates the fleet key unless it is read from the store first.
   task<void> obtainFleetKey();
+  /// Writes this VM's entry until the store confirms it.
   task<void> registerSelf();
+  /// Registers this VM again if its entry was lost.
+  /// \param Position up to which the list of VMs is complete.
+  void checkRegistration(std::uint64_t Position);
   task<void> unregister();
   operator_response respond(const operator_request &Request) const;
 
@@ -48,6 +53,9 @@
   operator_server Directory;
   operator_server Readiness;
   bool IsFleetKeyKnown = false;
+  registration_monitor Registration;
+  bool IsRegistering = false;
+  bool IsLeaving = false;
 };
 
 } // namespace peridot
--- a/src/transport/platform/types/fleet_store.h
+++ b/src/transport/platform/types/fleet_store.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -85,9 +86,12 @@
   /// Decodes such a list.
   std::function<result<store_items>(fleet_collection, std::string_view)>
       DecodeList;
-  /// Creates the VM's object or replaces the one with the same name.
-  std::function<task<result<void>>(registered_vm)> Register;
-  std::function<task<result<void>>(vm_name)> Unregister;
+  /// Creates the VM's object or replaces the one with the same name. Returns
+  /// the object's revision, if the response contains it.
+  std::function<task<result<std::optional<std::uint64_t>>>(registered_vm)>
+      Register;
+  /// Removes the VM's object if it still has \p Revision.
+  std::function<task<result<void>>(vm_name, std::uint64_t Revision)> Unregister;
   /// Stores the key if there is none yet; returns the stored key.
   std::function<task<result<fleet_key>>(fleet_key)> GetOrCreateFleetKey;
 };
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -352,6 +352,48 @@
   awaitStatus(3, "/logs/1", 200);
 }
 
+// Guards against a VM that stays out of service because the store carries out
+// the removal by its earlier process only after it has registered.
+TEST_CASE_FIXTURE(
+    object_platform_fixture,
+    "nodes_restartedThenEarlierRemovalsCarriedOut_registeredAndServing") {
+  awaitSettled();
+  setPlatformFaults("hold_writes=1");
+  for (const auto &Each : Nodes) {
+    Each->Node.Process->signal(SIGTERM);
+    Each->Node.Process->awaitExit();
+  }
+  setPlatformFaults("");
+  for (const auto &Each : Nodes) {
+    restart(*Each);
+    awaitReady(*Each);
+    Each->Node.Process->awaitLine("\"registered\"");
+  }
+  setPlatformFaults("release=1");
+  std::this_thread::sleep_for(3s);
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node) {
+    CHECK(call(Node) == 200);
+    CHECK(
+        jsonInteger(
+            httpCall(Nodes[Node]->Node.OperatorPort, {.Path = "/status"}).Body,
+            "vms_listed") == 4);
+  }
+}
+
+// The same while the store still removes entries without a condition, as other
+// programs may: the VM notices that its entry is gone.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "node_entryRemovedByOthers_registeredAgain") {
+  awaitSettled();
+  removeVm(*Nodes[3]);
+  std::this_thread::sleep_for(2s);
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+    CHECK(
+        jsonInteger(
+            httpCall(Nodes[Node]->Node.OperatorPort, {.Path = "/status"}).Body,
+            "vms_listed") == 4);
+}
+
 // Pattern: a VM starts while others run. It learns the collections from a
 // watcher, so that its start does not cost the store a call for each of them.
 TEST_CASE_FIXTURE(object_platform_fixture,
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -110,6 +110,11 @@
                           .Path = "/v1/objects/servers/" + Target.Target.Name});
 }
 
+void store_fleet::removeVm(const store_node &Node) const {
+  httpCall(PlatformPort, {.Method = "DELETE",
+                          .Path = "/v1/objects/peridot-vms/" + Node.Node.Name});
+}
+
 store_node &store_fleet::addNode(const std::string &Name,
                                  const std::string &DataCenter) {
   auto Added = std::make_unique<store_node>();
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -50,6 +50,8 @@
   void registerTarget(const store_target &Target,
                       const std::string &State = "ready") const;
   void removeTarget(const store_target &Target) const;
+  /// Removes a node's entry, whatever its revision.
+  void removeVm(const store_node &Node) const;
   store_node &addNode(const std::string &Name, const std::string &DataCenter);
   /// Starts the node's process again on its earlier ports.
   void restart(store_node &Node) const;
