Send no new requests to a target that says in a response that it leaves

What callers saw: a target that announces its leaving in its responses, before or without its entry in the store, went on getting requests, and those still waiting there when it ended were lost.

Log: target-entry with the transition leaving; counter peridot_targets_leaving_total. A refusal for want of retry budget says so.

--- a/src/coordination/hosting/types/host_messages.h
+++ b/src/coordination/hosting/types/host_messages.h
@@ -54,6 +54,7 @@
   target_name Target;
   attempt_end End = attempt_end::Responded;
   unsigned Count = 0;
+  bool IsLeaving = false; ///< The target said so in these responses.
 
   bool operator==(const attempt_tally &) const = default;
 };
--- a/src/coordination/registry/internal/target_registry.cpp
+++ b/src/coordination/registry/internal/target_registry.cpp
@@ -8,6 +8,8 @@
   switch (Transition) {
   case target_transition::Draining:
     return "draining";
+  case target_transition::Leaving:
+    return "leaving";
   case target_transition::Removed:
     return "removed";
   case target_transition::Kept:
@@ -62,13 +64,16 @@
 }
 
 bool target_registry::accept(const target_changed &Event, instant /*Now*/) {
-  const auto [Found, IsNew] =
-      Entries.try_emplace(Event.Target.Target.Name, entry{Event.Target, {}});
+  const auto [Found, IsNew] = Entries.try_emplace(
+      Event.Target.Target.Name, entry{.Target = Event.Target});
   if (IsNew)
     return true;
   const bool Changed = Found->second.Target != Event.Target;
   recordUpdate(Found->second, Event.Target);
-  Found->second = {Event.Target, std::nullopt};
+  const bool IsSameProcess =
+      Found->second.Target.StartedAt == Event.Target.StartedAt;
+  Found->second = {.Target = Event.Target,
+                   .IsLeaving = Found->second.IsLeaving && IsSameProcess};
   return Changed;
 }
 
@@ -85,6 +90,14 @@
   return remove(Event.Target, Now);
 }
 
+bool target_registry::accept(const target_leaving &Event, instant /*Now*/) {
+  const auto Found = Entries.find(Event.Target);
+  if (Found == Entries.end() || std::exchange(Found->second.IsLeaving, true))
+    return false;
+  Decisions.push_back({Event.Target, target_transition::Leaving});
+  return true;
+}
+
 bool target_registry::accept(const store_unavailable & /*Event*/,
                              instant /*Now*/) {
   AvailableSince.reset();
@@ -110,7 +123,7 @@
 target_table target_registry::table() const {
   target_table Table;
   for (const auto &[Name, Entry] : Entries)
-    if (Entry.Target.Phase == target_phase::Ready)
+    if (Entry.Target.Phase == target_phase::Ready && !Entry.IsLeaving)
       Table[Entry.Target.Service].push_back(Entry.Target.Target);
   return Table;
 }
--- a/src/coordination/registry/target_registry.h
+++ b/src/coordination/registry/target_registry.h
@@ -32,6 +32,12 @@
   target_name Target;
 };
 
+/// A target said in a response that it leaves. What its entry says may be
+/// older.
+struct target_leaving {
+  target_name Target;
+};
+
 /// No VM that this one knows of reaches the store.
 struct store_unavailable {};
 
@@ -41,12 +47,13 @@
 };
 
 using registry_event =
-    std::variant<targets_listed, target_changed, target_removed,
+    std::variant<targets_listed, target_changed, target_removed, target_leaving,
                  store_unavailable, store_available>;
 
 /// What happened to a target's entry and what the registry did about it.
 enum class target_transition {
   Draining, ///< It drains and gets no new requests.
+  Leaving,  ///< It said so in a response and gets no new requests.
   Removed,  ///< It has no entry and gets no new requests.
   Kept,     ///< It has no entry but stays in use, as it may be renewed.
   Renewed,  ///< It was kept without an entry and has one again.
@@ -70,7 +77,9 @@
 
 /// Keeps a target in use that loses its entry during an outage of the store or
 /// up to RenewalGracePeriod afterwards, because it may have been unable to
-/// renew it. Draining targets are removed at once. A VM that cannot reach the
+/// renew it. Draining targets are removed at once. A target that has said that
+/// it leaves gets no new requests, whatever its entry says, until the entry is
+/// that of a later process or is removed. A VM that cannot reach the
 /// store while others do is no sign of an outage: an entry that is removed then
 /// belongs to a target that has left.
 class target_registry {
@@ -96,11 +105,13 @@
   struct entry {
     registered_target Target;
     std::optional<instant> MissingSince;
+    bool IsLeaving = false; ///< The target has said so itself.
   };
 
   bool accept(const targets_listed &Event, instant Now);
   bool accept(const target_changed &Event, instant Now);
   bool accept(const target_removed &Event, instant Now);
+  bool accept(const target_leaving &Event, instant Now);
   bool accept(const store_unavailable &Event, instant Now);
   bool accept(const store_available &Event, instant Now);
   bool mayBeRenewed(instant Now) const;
--- a/src/coordination/registry/tests/target_registry_test.cpp
+++ b/src/coordination/registry/tests/target_registry_test.cpp
@@ -95,3 +95,67 @@
   CHECK(Registry.expire(Now));
   CHECK(inUse() == 1);
 }
+
+// A target says in its responses that it leaves. Its entry may say so later, or
+// never, and an older state of the entry must not bring it back.
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_leavingBeforeEntrySaysSo_notInUse") {
+  Registry.handle(targets_listed{{make("a"), make("b")}}, Now);
+  CHECK(Registry.handle(target_leaving{target_name("a")}, Now));
+  CHECK(!Registry.handle(target_leaving{target_name("a")}, Now));
+  CHECK(inUse() == 1);
+  REQUIRE(!Registry.takeDecisions().empty());
+}
+
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_readyEntryOfSameProcessAfterLeaving_notInUse") {
+  Registry.handle(targets_listed{{make("a"), make("b")}}, Now);
+  Registry.handle(target_leaving{target_name("a")}, Now);
+  Registry.handle(target_changed{make("a")}, Now);
+  Registry.handle(targets_listed{{make("a"), make("b")}}, Now);
+  CHECK(inUse() == 1);
+}
+
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_leavingWhileStoreUnavailable_notInUse") {
+  Registry.handle(targets_listed{{make("a"), make("b")}}, Now);
+  Registry.handle(store_unavailable{}, Now);
+  Registry.handle(target_leaving{target_name("a")}, Now);
+  Registry.handle(targets_listed{{make("b")}}, Now);
+  CHECK(inUse() == 1);
+  Registry.handle(target_changed{make("a")}, Now);
+  CHECK(inUse() == 1);
+}
+
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_drainingThenLeavingThenReady_notInUse") {
+  Registry.handle(targets_listed{{make("a", target_phase::Draining)}}, Now);
+  Registry.handle(target_leaving{target_name("a")}, Now);
+  Registry.handle(target_changed{make("a")}, Now);
+  CHECK(inUse() == 0);
+}
+
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_laterProcessUnderSameName_inUse") {
+  Registry.handle(targets_listed{{make("a")}}, Now);
+  Registry.handle(target_leaving{target_name("a")}, Now);
+  registered_target Restarted = make("a");
+  Restarted.StartedAt = 5;
+  CHECK(Registry.handle(target_changed{Restarted}, Now));
+  CHECK(inUse() == 1);
+}
+
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_removedAndRegisteredAgain_inUse") {
+  Registry.handle(targets_listed{{make("a")}}, Now);
+  Registry.handle(target_leaving{target_name("a")}, Now);
+  Registry.handle(target_removed{target_name("a")}, Now);
+  Registry.handle(target_changed{make("a")}, Now);
+  CHECK(inUse() == 1);
+}
+
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_leavingOfUnknownTarget_ignored") {
+  CHECK(!Registry.handle(target_leaving{target_name("a")}, Now));
+  CHECK(Registry.takeDecisions().empty());
+}
--- a/src/protocol/host_messages/internal/host_codec.cpp
+++ b/src/protocol/host_messages/internal/host_codec.cpp
@@ -54,7 +54,7 @@
     const auto Name = Builder.CreateString(Each.Target.str());
     Evidence.push_back(wire::CreateTargetEvidence(
         Builder, Name, static_cast<std::uint8_t>(Each.End),
-        static_cast<std::uint16_t>(Each.Count)));
+        static_cast<std::uint16_t>(Each.Count), Each.IsLeaving));
   }
   return wire::CreateEvidenceBatch(Builder, Builder.CreateVector(Evidence));
 }
@@ -105,7 +105,8 @@
       Batch.Evidence.push_back(
           {.Target = target_name(textOf(*Each->target())),
            .End = static_cast<attempt_end>(std::min(Each->end(), LastEnd)),
-           .Count = Each->count()});
+           .Count = Each->count(),
+           .IsLeaving = Each->leaving()});
   return Batch;
 }
 
--- a/src/protocol/host_messages/tests/host_codec_test.cpp
+++ b/src/protocol/host_messages/tests/host_codec_test.cpp
@@ -21,6 +21,16 @@
   CHECK(decodeHostMessage(encodeHostMessage(Message)) == Message);
 }
 
+TEST_CASE("hostCodec_evidenceOfLeavingTarget_roundTrips") {
+  const host_message Message = evidence_batch{{{.Target = target_name("hive-1"),
+                                                .End = attempt_end::Shed,
+                                                .Count = 2,
+                                                .IsLeaving = true}}};
+  const auto Decoded = decodeHostMessage(encodeHostMessage(Message));
+  REQUIRE(Decoded);
+  CHECK(*Decoded == Message);
+}
+
 TEST_CASE("hostCodec_evidenceBatch_roundTrips") {
   const host_message Message = evidence_batch{{{.Target = target_name("hive-1"),
                                                 .End = attempt_end::TimedOut,
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -171,7 +171,10 @@
     return false;
   const bool IsCharged = Verdict.Outcome == request_outcome::Unknown ||
                          (HasConnected && Worker.retries().chargesRefused());
-  return !IsCharged || Retries.take();
+  if (!IsCharged || Retries.take())
+    return true;
+  LastRefusal->Detail += "; not sent again, as the retry budget is used up";
+  return false;
 }
 
 bool request_relay::canKeepCallerConnection() const {
@@ -316,15 +319,18 @@
       Result.HeadReceivedAt == instant{} ? Now : Result.HeadReceivedAt;
   const duration Age =
       Result.OpenedAt == instant{} ? duration{0} : Now - Result.OpenedAt;
-  Worker.observe({.Service = Service.Name,
-                  .Target = Target.Name,
-                  .End = endOf(Result),
-                  .Latency = HeadReceivedAt - StartedAt,
-                  .ReusedConnection = Result.ReusedConnection,
-                  .ConnectionAge = Age,
-                  .Signal = Result.Report.Draining ? target_signal::Draining
-                                                   : target_signal::None,
-                  .ReportedLoad = Result.Report.Load});
+  // A misdirected or foreign response is that of another process.
+  const bool SaysDraining = Result.Report.Draining &&
+                            !Result.Report.Misdirected && Result.Report.Genuine;
+  Worker.observe(
+      {.Service = Service.Name,
+       .Target = Target.Name,
+       .End = endOf(Result),
+       .Latency = HeadReceivedAt - StartedAt,
+       .ReusedConnection = Result.ReusedConnection,
+       .ConnectionAge = Age,
+       .Signal = SaysDraining ? target_signal::Draining : target_signal::None,
+       .ReportedLoad = Result.Report.Load});
 }
 
 task<std::optional<refusal>> request_relay::bufferBody(const route &Route) {
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -39,8 +39,9 @@
 
 } // namespace
 
-hosting_driver::hosting_driver(node_services &Services)
-    : Services(Services),
+hosting_driver::hosting_driver(node_services &Services,
+                               leaving_callback OnLeaving)
+    : Services(Services), OnLeaving(std::move(OnLeaving)),
       Election(Services.Self.Vm, Services.Settings.DataCenter),
       Demands({.Tolerance = Services.Settings.RateTolerance}) {}
 
@@ -288,15 +289,19 @@
   for (const attempt_observation &Each : Attempts) {
     if (Each.End == attempt_end::Cancelled)
       continue;
+    const bool IsLeaving = Each.Signal == target_signal::Draining;
     const auto Existing =
-        std::ranges::find_if(Batch.Evidence, [&Each](const attempt_tally &Row) {
-          return Row.Target == Each.Target && Row.End == Each.End;
+        std::ranges::find_if(Batch.Evidence, [&](const attempt_tally &Row) {
+          return Row.Target == Each.Target && Row.End == Each.End &&
+                 Row.IsLeaving == IsLeaving;
         });
     if (Existing != Batch.Evidence.end())
       ++Existing->Count;
     else
-      Batch.Evidence.push_back(
-          {.Target = Each.Target, .End = Each.End, .Count = 1});
+      Batch.Evidence.push_back({.Target = Each.Target,
+                                .End = Each.End,
+                                .Count = 1,
+                                .IsLeaving = IsLeaving});
   }
   if (Batch.Evidence.empty())
     return;
@@ -346,9 +351,15 @@
 void hosting_driver::on(const peer_hello & /*Sender*/,
                         const evidence_batch &Batch) {
   std::vector<attempt_observation> Observations;
-  for (const attempt_tally &Each : Batch.Evidence)
+  std::vector<target_name> Leaving;
+  for (const attempt_tally &Each : Batch.Evidence) {
+    if (Each.IsLeaving)
+      Leaving.push_back(Each.Target);
     for (unsigned Count = 0; Count < Each.Count; ++Count)
       Observations.push_back({.Target = Each.Target, .End = Each.End});
+  }
+  if (!Leaving.empty())
+    OnLeaving(Leaving);
   for (const auto &Worker : Services.Workers)
     Worker->addPeerObservations(Observations);
 }
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -13,7 +13,10 @@
 /// Runs on the control thread, except for takeRate() and reportAttempts().
 class hosting_driver {
 public:
-  explicit hosting_driver(node_services &Services);
+  /// Called with targets that said to a peer that they leave.
+  using leaving_callback = std::function<void(std::span<const target_name>)>;
+
+  hosting_driver(node_services &Services, leaving_callback OnLeaving);
 
   void start();
   /// Applies VM entries of the store; \p IsList: \p Items are all entries.
@@ -71,6 +74,7 @@
   bool isReady() const;
 
   node_services &Services;
+  leaving_callback OnLeaving;
   host_election Election;
   demand_shares Demands;
   account_buckets Buckets;
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -63,7 +63,10 @@
       Store(Adapter.MakeStore(Services.Loop,
                               endpointOf(Services.Settings.PlatformAddress,
                                          Services.Settings.PlatformPort))),
-      Hosting(Services),
+      Hosting(Services,
+              [this](std::span<const target_name> Names) {
+                Follower.recordLeaving(Names);
+              }),
       Follower(
           Services, Store,
           {.RequestSnapshot =
@@ -120,6 +123,7 @@
     return Hosting.takeRate(Account, Check);
   };
   Hooks.Observe = [this](std::vector<attempt_observation> Attempts) {
+    reportLeaving(Attempts);
     Hosting.reportAttempts(std::move(Attempts));
   };
   Hooks.ConfirmKeys = [this] {
@@ -128,6 +132,18 @@
   return Hooks;
 }
 
+void store_control::reportLeaving(
+    std::span<const attempt_observation> Attempts) {
+  std::vector<target_name> Names;
+  for (const attempt_observation &Each : Attempts)
+    if (Each.Signal == target_signal::Draining)
+      Names.push_back(Each.Target);
+  if (!Names.empty())
+    asio::post(Services.Loop, [this, Leaving = std::move(Names)] {
+      Follower.recordLeaving(Leaving);
+    });
+}
+
 void store_control::findFleetKey(const store_items &Items) {
   for (const store_item &Item : Items.Items)
     if (const auto *Key = std::get_if<fleet_key>(&Item.Content))
--- a/src/transport/node/internal/store_control.h
+++ b/src/transport/node/internal/store_control.h
@@ -36,6 +36,8 @@
   void setFleetKey(const fleet_key &Key);
   /// Creates the fleet key unless it is read from the store first.
   task<void> obtainFleetKey();
+  /// Passes on which targets said in responses that they leave. Thread-safe.
+  void reportLeaving(std::span<const attempt_observation> Attempts);
   /// Writes this VM's entry until the store confirms it.
   task<void> registerSelf();
   /// Registers this VM again if its entry was lost.
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -71,6 +71,10 @@
   void setStoreAvailableSince(std::optional<instant> Since, instant Now) {
     Targets.setStoreAvailableSince(Since, Now);
   }
+  /// Records that targets said in responses that they leave.
+  void recordLeaving(std::span<const target_name> Names) {
+    Targets.recordLeaving(Names);
+  }
   /// Treats the store as unreachable, because other VMs reported it as such.
   void setStoreUnreachable();
   std::uint64_t position(fleet_collection Collection) const {
--- a/src/transport/node/internal/target_publisher.cpp
+++ b/src/transport/node/internal/target_publisher.cpp
@@ -55,6 +55,19 @@
   expire(Now);
 }
 
+void target_publisher::recordLeaving(std::span<const target_name> Names) {
+  bool Changed = false;
+  for (const target_name &Each : Names) {
+    if (!Registry.handle(target_leaving{Each}, Services.Timers.now()))
+      continue;
+    Services.Metrics.getOrCreateCounter("peridot_targets_leaving_total").add();
+    Changed = true;
+  }
+  logDecisions();
+  if (Changed)
+    publish();
+}
+
 void target_publisher::expire(instant Now) {
   if (!Registry.expire(Now))
     return;
--- a/src/transport/node/internal/target_publisher.h
+++ b/src/transport/node/internal/target_publisher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 
 #include "coordination/registry/target_registry.h"
 #include "transport/node/control_context.h"
@@ -21,6 +22,8 @@
   void apply(const store_items &Items, bool IsList);
   /// Sets since when the store has been available to at least one known VM;
   /// empty: it is available to none.
+  /// Records that targets said in responses that they leave.
+  void recordLeaving(std::span<const target_name> Names);
   void setStoreAvailableSince(std::optional<instant> Since, instant Now);
 
 private:
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -284,6 +284,41 @@
     CHECK(countServedElsewhere(Node, 20) == 20);
 }
 
+// Guards against VMs that go on using a target which says in its responses that
+// it leaves, as its entry says nothing of it.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "nodes_targetSaysItLeaves_unusedWithoutWordOfStore") {
+  awaitSettled();
+  Targets[0]->Target.setBehaviour("draining=1");
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+    for (int Count = 0; Count < 20; ++Count)
+      CHECK(call(Node) == 200);
+  CHECK(Targets[0]->Target.executions() != "[]");
+  std::this_thread::sleep_for(500ms);
+  for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
+    CHECK(countServedElsewhere(Node, 20) == 20);
+}
+
+// The same with the store away, and with an older state of the entry that is
+// written again: neither brings the target back.
+TEST_CASE_FIXTURE(object_platform_fixture,
+                  "nodes_targetSaysItLeavesWhileStoreAway_staysUnused") {
+  awaitSettled();
+  Targets[0]->Target.setBehaviour("draining=1");
+  setPlatformFaults("silent=1");
+  const std::string Before = Targets[0]->Target.executions();
+  awaitCondition("a response of the target that leaves", [&] {
+    call(0);
+    return Targets[0]->Target.executions() != Before;
+  });
+  std::this_thread::sleep_for(500ms);
+  CHECK(countServedElsewhere(0, 20) == 20);
+  setPlatformFaults("");
+  registerTarget(*Targets[0], "ready");
+  std::this_thread::sleep_for(1500ms);
+  CHECK(countServedElsewhere(0, 20) == 20);
+}
+
 // Guards against a missed change of the targets that a later change of another
 // collection hides, as that moves the highest position that is known.
 TEST_CASE_FIXTURE(object_platform_fixture,
--- a/tests/stand_ins/target/main.cpp
+++ b/tests/stand_ins/target/main.cpp
@@ -71,8 +71,10 @@
     Response.set("X-Request-Id", Request["X-Request-Id"]);
     Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
     Response.set("X-Response-Signature", "stand-in");
-    if (Behaviour.IsDraining)
+    if (Behaviour.IsDraining) {
       Response.set("Peridot-Target-State", "draining");
+      Response.set("Server-Leaving", "1");
+    }
     return {.Response = std::move(Response),
             .TruncateAt = Behaviour.TruncateAt};
   }
