Fill the retry budgets before a target is damaged in a test

Cause: each traffic thread has its own part of the budget, which starts with one retry, and its own view of the targets; thirty requests left some threads with less than two retries. The budget is meant to bind, and the test is about broken responses, so 200 requests fill it first; each response is checked as before.

--- a/tests/integration/store_attempts_test.cpp
+++ b/tests/integration/store_attempts_test.cpp
@@ -123,9 +123,10 @@
 // is damaged, until a request has met the damage.
 TEST_CASE_FIXTURE(store_attempts_fixture,
                   "node_largeResponseBreaksOff_fetchedFromOtherTarget") {
+  constexpr int FillingRequests = 200;
   constexpr int RequestsPerRound = 12;
   constexpr int MaxRounds = 10;
-  REQUIRE(countServedWithin(1s, "/logs/1", 30) == 30);
+  REQUIRE(countServedWithin(1s, "/logs/1", FillingRequests) == FillingRequests);
   bool IsDamageMet = false;
   for (int Round = 0; Round < MaxRounds && !IsDamageMet; ++Round) {
     const running_target &Damaged = preferredTarget();
