--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -147,6 +147,7 @@
     if (!Open)
       break;
     IsServing = true;
+    Progress = request_progress();
     Open = co_await serveRequest();
     IsServing = false;
   }
@@ -335,6 +336,7 @@
       Worker.metersOf(Admitted, Snapshot->Configuration);
   const instant StartedAt = bootNow();
   if (Admitted.Account) {
+    Progress.enter(request_step::Rate);
     const rate_decision Rate = co_await takeRate(*Admitted.Account);
     if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
       const refusal Refusal = rateExceeded(*Admitted.Account, *Refused);
@@ -342,6 +344,7 @@
       co_return co_await refuse(Refusal);
     }
   }
+  Progress.enter(request_step::Slot);
   const auto Slot = co_await Worker.queues().acquireSlot(Admitted, Snapshot);
   if (const auto *Refused = std::get_if<refusal>(&Slot)) {
     Meters.record(request_end::NotRun, bootNow() - StartedAt);
@@ -353,7 +356,7 @@
     Meters.record(request_end::NotRun, bootNow() - StartedAt);
     co_return co_await refuse(*LateRefusal);
   }
-  request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch);
+  request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch, Progress);
   HasAskedTarget = true; // Unknown if the relay ends with an exception.
   const relay_result Result = co_await Relay.run(Admitted);
   Meters.record(endOf(Result), bootNow() - StartedAt);
@@ -372,6 +375,14 @@
   return toStd(Parser->get()[toBeast(Worker.dialect().AttemptField)]);
 }
 
+std::chrono::milliseconds caller_session::stoppingFor() const {
+  const auto &Shutdown = Worker.shutdownSchedule();
+  if (!Shutdown)
+    return std::chrono::milliseconds{0};
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      bootNow() - Shutdown->BeganAt);
+}
+
 void caller_session::recordUnanswered(const unanswered_request &Request) const {
   recordUnanswered(Request.Cause, Request.Error.message(), Request.level());
 }
@@ -386,7 +397,11 @@
             {"path", toStd(Request.target())},
             {"cause", nameOf(Cause)},
             {"detail", Detail},
-            {"target_asked", HasAskedTarget}});
+            {"target_asked", HasAskedTarget},
+            {"step", nameOf(Progress.step())},
+            {"step_ms", std::int64_t{Progress.stepAge().count()}},
+            {"age_ms", std::int64_t{Progress.age().count()}},
+            {"stopping_ms", std::int64_t{stoppingFor().count()}}});
   Worker.metrics()
       .getOrCreateCounter("peridot_unanswered_requests_total",
                           seriesLabel("cause", nameOf(Cause)))
@@ -410,11 +425,15 @@
             {"detail", std::string_view(Refusal.Detail)},
             {"retry_after_ms", std::int64_t{Refusal.RetryAfter.count()}},
             {"revision", static_cast<std::int64_t>(Revision)},
-            {"keys_fresh_for_ms", Worker.keysFreshFor().count()}});
+            {"keys_fresh_for_ms", Worker.keysFreshFor().count()},
+            {"step", nameOf(Progress.step())},
+            {"age_ms", std::int64_t{Progress.age().count()}},
+            {"stopping_ms", std::int64_t{stoppingFor().count()}}});
 }
 
 task<bool> caller_session::refuse(const refusal &Refusal) {
   logRefusal(Refusal);
+  Progress.enter(request_step::Response);
   Worker.metrics()
       .getOrCreateCounter("peridot_refusals_total",
                           seriesLabel("kind", nameOf(Refusal.Kind)))
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -9,6 +9,7 @@
 
 #include "coordination/routing/admission.h"
 #include "transport/callers/internal/relay_watch.h"
+#include "transport/callers/internal/request_progress.h"
 #include "transport/callers/internal/unanswered_request.h"
 #include "transport/callers/traffic_worker.h"
 
@@ -65,6 +66,8 @@
   void recordUnanswered(const unanswered_request &Request) const;
   /// Id of the current request; empty if it has none.
   std::string_view requestId() const;
+  /// Time since the VM began to stop; zero if it is not stopping.
+  std::chrono::milliseconds stoppingFor() const;
   /// Reads and discards the rest of a small body, so that the connection can
   /// be reused.
   task<void> discardSmallBody();
@@ -76,6 +79,7 @@
   boost::beast::flat_buffer Buffer;
   std::optional<caller_request_parser> Parser;
   std::shared_ptr<relay_watch> Watch;
+  request_progress Progress; ///< Of the current request.
   /// False if the end of the current request can no longer be found in the
   /// stream; the connection cannot be reused then.
   bool IsRequestEndKnown = true;
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -147,6 +147,7 @@
   SentKeepAlive = canKeepCallerConnection();
   Forwarded.keep_alive(SentKeepAlive);
   CallerGotBytes = true;
+  Progress.enter(request_step::Response);
   // A complete response is delivered even after the request's deadline.
   Caller.expires_at(
       std::max(Deadline, std::chrono::steady_clock::now() + DeliveryTimeout));
@@ -172,6 +173,7 @@
   Forwarded.body().size = 0;
   Forwarded.body().more = !Response.is_done();
   http::response_serializer<http::buffer_body> Serializer(Forwarded);
+  Progress.enter(request_step::Response);
   Caller.expires_at(Deadline);
   Watch.noteResponseStarted();
   // If body bytes were received with the head, both are sent together.
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -86,6 +86,7 @@
     Refused.KeepCallerConnection = true;
     co_return Refused;
   }
+  Progress.enter(request_step::Body);
   LastRefusal = co_await bufferBody(*Admitted.Route);
   if (LastRefusal)
     co_return relay_result{.Refusal = std::move(LastRefusal)};
@@ -94,6 +95,7 @@
         .CallerDisconnected = true,
         .Unanswered = unanswered_request{
             .Cause = unanswered_cause::BodyNotReceived, .Error = BodyError}};
+  Progress.enter(request_step::Target);
   retry_budget &Retries =
       Worker.retries().getOrCreate(retryBudgetKeyOf(Admitted));
   Retries.recordRequest();
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -9,6 +9,7 @@
 #include "protocol/http/header_rules.h"
 #include "transport/callers/internal/body_relay.h"
 #include "transport/callers/internal/caller_session.h"
+#include "transport/callers/internal/request_progress.h"
 #include "transport/callers/internal/response_timer.h"
 
 namespace peridot {
@@ -45,9 +46,11 @@
 public:
   request_relay(traffic_worker &Worker, tcp_stream &Caller,
                 boost::beast::flat_buffer &CallerBuffer,
-                caller_request_parser &Request, relay_watch &Watch)
+                caller_request_parser &Request, relay_watch &Watch,
+                request_progress &Progress)
       : Worker(Worker), Caller(Caller), CallerBuffer(CallerBuffer),
-        Request(Request), Watch(Watch), ResponseTimer(Worker.loop()) {}
+        Request(Request), Watch(Watch), Progress(Progress),
+        ResponseTimer(Worker.loop()) {}
 
   /// \p Admitted points into a configuration that must outlive the relay.
   task<relay_result> run(const admitted_request &Admitted);
@@ -185,6 +188,7 @@
   boost::beast::flat_buffer &CallerBuffer;
   caller_request_parser &Request;
   relay_watch &Watch;
+  request_progress &Progress;
   std::vector<target_name> TriedTargets;
   unsigned ConnectedAttempts = 0; ///< Number of attempts with a connection.
   unsigned FailedConnects = 0;    ///< Number of attempts without a connection.
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -234,7 +234,12 @@
     co_await Timer.async_wait(UseTaskTuple);
   }
   logEvent(log_level::Info, "shutdown-finished",
-           {{"connections_cut", static_cast<std::int64_t>(openConnections())}});
+           {{"connections_cut", static_cast<std::int64_t>(openConnections())},
+            {"cause", std::string_view(hasCallers() ? "limit-reached"
+                                                    : "connections-closed")},
+            {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            Timers.now() - SignalledAt)
+                            .count()}});
   Done();
 }
 
