--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -1,7 +1,9 @@
 #include "support/http_client.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <thread>
 
 #include <boost/asio/connect.hpp>
@@ -62,6 +64,13 @@
 
 bool http_connection::isConnected() const { return Impl->IsConnected; }
 
+bool http_connection::isClosedByPeer() const {
+  char Byte = 0;
+  const ssize_t Size = recv(Impl->Socket.native_handle(), &Byte, sizeof(Byte),
+                            MSG_PEEK | MSG_DONTWAIT);
+  return Size == 0 || (Size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 client_response http_connection::call(const http_call &Call) {
   http::request<http::string_body> Request(http::string_to_verb(Call.Method),
                                            Call.Path, 11, Call.Body);
--- a/tests/support/http_client.h
+++ b/tests/support/http_client.h
@@ -45,6 +45,8 @@
 
   /// Whether the connection was established.
   bool isConnected() const;
+  /// Whether the peer has closed the connection, as far as the system knows.
+  bool isClosedByPeer() const;
   client_response call(const http_call &Call);
   /// Sends \p Bytes unchanged. \returns whether all were sent.
   bool send(const std::string &Bytes);
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -78,8 +78,9 @@
 }
 
 store_target &store_fleet::addTarget(const std::string &Name,
-                                     const std::string &DataCenter) {
+                                     const std::string &DataCenter, int Slots) {
   auto Added = std::make_unique<store_target>();
+  Added->Slots = Slots;
   running_target &Target = Added->Target;
   Target.Name = Name;
   Target.DataCenter = DataCenter;
@@ -102,7 +103,7 @@
              {{"service", "hive"},
               {"zone", Target.Target.DataCenter},
               {"version", "v1"},
-              {"max-concurrency", 8}}},
+              {"max-concurrency", Target.Slots}}},
             {"status", {{"state", State}, {"sequence", 1}}},
             {"born", Born}}}}));
 }
@@ -137,18 +138,25 @@
     return std::string(Name) + std::to_string(Value);
   };
   Node.Process.reset();
-  Node.Process = std::make_unique<process>(
-      "peridotport",
-      std::vector<std::string>{
-          "--adapter=hivecrest", "--vm=" + Node.Name,
-          "--traffic_threads=" + std::to_string(Each.TrafficThreads),
-          "--data_center=" + Node.DataCenter, "--platform_address=127.0.0.1",
-          Flag("--platform_port=", Each.Proxy->Port),
-          Flag("--caller_port=", Node.CallerPort),
-          Flag("--peer_port=", Node.PeerPort),
-          Flag("--operator_port=", Node.OperatorPort), "--address_ttl=200ms",
-          "--shutdown_limit=4s", "--rate_window=5s", "--rate_share=0.1",
-          "--rate_requests=20", "--retry_ratio=0.2", "--retry_extra=20"});
+  std::vector<std::string> Flags{"--adapter=hivecrest",
+                                 "--vm=" + Node.Name,
+                                 "--traffic_threads=" +
+                                     std::to_string(Each.TrafficThreads),
+                                 "--data_center=" + Node.DataCenter,
+                                 "--platform_address=127.0.0.1",
+                                 Flag("--platform_port=", Each.Proxy->Port),
+                                 Flag("--caller_port=", Node.CallerPort),
+                                 Flag("--peer_port=", Node.PeerPort),
+                                 Flag("--operator_port=", Node.OperatorPort),
+                                 "--address_ttl=200ms",
+                                 "--shutdown_limit=4s",
+                                 "--rate_window=5s",
+                                 "--rate_share=0.1",
+                                 "--rate_requests=20",
+                                 "--retry_ratio=0.2",
+                                 "--retry_extra=20"};
+  Flags.insert(Flags.end(), NodeFlags.begin(), NodeFlags.end());
+  Node.Process = std::make_unique<process>("peridotport", Flags);
   const std::string Line = Node.Process->awaitLine("\"listening\"");
   Node.CallerPort = portField(Line, "caller_port");
   Node.PeerPort = portField(Line, "peer_port");
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -26,10 +26,14 @@
   int TrafficThreads = 1; ///< Applies from the next start.
 };
 
+/// Requests that a target serves at a time unless a test chooses otherwise.
+constexpr int DefaultSlots = 8;
+
 /// A target and the fault proxy in front of it.
 struct store_target {
   running_target Target;
   std::unique_ptr<running_proxy> Proxy;
+  int Slots = DefaultSlots;
 };
 
 /// Starts an object platform stand-in; tests add nodes and targets.
@@ -45,8 +49,10 @@
   void writeConfiguration(int Version,
                           const std::vector<store_account> &Accounts,
                           const std::string &ExtraRoutePrefix = "") const;
+  /// \param Slots requests that the target serves at a time.
   store_target &addTarget(const std::string &Name,
-                          const std::string &DataCenter);
+                          const std::string &DataCenter,
+                          int Slots = DefaultSlots);
   /// Writes the target's entry; \p State in the platform's spelling, \p Born
   /// differs between processes under the same name.
   void registerTarget(const store_target &Target,
@@ -68,6 +74,8 @@
   std::uint16_t PlatformPort = 0;
   std::vector<std::unique_ptr<store_node>> Nodes;
   std::vector<std::unique_ptr<store_target>> Targets;
+  /// Flags of all nodes, after those of the fleet; apply from the next start.
+  std::vector<std::string> NodeFlags;
 
 private:
   void put(const std::string &Path, const std::string &Body) const;
