--- a/tests/soak/planned_stops.cpp
+++ b/tests/soak/planned_stops.cpp
@@ -43,6 +43,10 @@
 DEFINE_int32(address_ttl_ms, 200, "--address_ttl of the VMs, in ms");
 DEFINE_int32(platform_delay_ms, 0,
              "Delay in ms of each way between VMs and the platform");
+DEFINE_int32(platform_down_ms, 0,
+             "The platform is down for this time in ms out of twice this time, "
+             "so that VMs cannot confirm keys; 0: never");
+DEFINE_int32(peer_delay_ms, 0, "Delay in ms of each way between VMs");
 DEFINE_int32(target_delay_ms, 0,
              "Delay in ms of each way between VMs and targets");
 
@@ -130,10 +134,7 @@
         "--address_ttl=" + std::to_string(FLAGS_address_ttl_ms) + "ms"};
     Fleet.writeConfiguration(1, Accounts);
     addTargets();
-    for (std::size_t Index = 0; Index < static_cast<std::size_t>(FLAGS_vms);
-         ++Index)
-      Fleet.addNode("vm-" + std::to_string(Index), dataCentre(Index))
-          .Proxy->setFaults(delayOfBothWays(FLAGS_platform_delay_ms));
+    addVms();
     for (const auto &Node : Fleet.Nodes)
       Fleet.awaitReady(*Node);
   }
@@ -149,7 +150,12 @@
         });
       Stoppers.emplace_back([this, Vm] { stopRepeatedly(Vm); });
     }
+    std::jthread Outages([this](const std::stop_token &Stop) {
+      while (FLAGS_platform_down_ms > 0 && !Stop.stop_requested())
+        takePlatformDown();
+    });
     Stoppers.clear();
+    Outages = {};
     IsStopping = true;
     Callers.clear();
     return report();
@@ -170,6 +176,26 @@
     }
   }
 
+  void addVms() {
+    Fleet.ProxiesPeers = FLAGS_peer_delay_ms > 0;
+    for (std::size_t Index = 0; Index < static_cast<std::size_t>(FLAGS_vms);
+         ++Index) {
+      const store_node &Added =
+          Fleet.addNode("vm-" + std::to_string(Index), dataCentre(Index));
+      Added.Proxy->setFaults(delayOfBothWays(FLAGS_platform_delay_ms));
+      if (Added.PeerProxy)
+        Added.PeerProxy->setFaults(delayOfBothWays(FLAGS_peer_delay_ms));
+    }
+  }
+
+  void takePlatformDown() const {
+    for (const char *Faults : {"", "down=1"}) {
+      Fleet.setPlatformFaults(Faults);
+      std::this_thread::sleep_for(milliseconds(FLAGS_platform_down_ms));
+    }
+    Fleet.setPlatformFaults("");
+  }
+
   void stopRepeatedly(std::size_t Vm) {
     std::mt19937 Random(Seed * 1'000 + static_cast<unsigned>(Vm));
     const auto End = steady_clock::now() + std::chrono::seconds(FLAGS_seconds);
--- a/tests/stand_ins/object_platform/main.cpp
+++ b/tests/stand_ins/object_platform/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Stand-in for an object platform such as Hivecrest's. It lists, watches,
-/// creates, replaces and removes objects; tests set faults under /admin/faults.
+/// creates, replaces and removes objects; tests set faults under /admin/faults,
+/// and proxies in front of VMs' peer ports under /admin/peer_proxy.
 
 #include <map>
 #include <utility>
@@ -150,6 +151,8 @@
       return textResponse(Objects.remove(Kind, Name) ? 200 : 404, "{}");
     }
     json::value Body = json::parse(Request.body());
+    if (Kind == "peridot-vms")
+      replacePeerPort(Body);
     if (Stored && !isConditionMet(revisionIn(Body), *Stored))
       return conflict(*Stored);
     if (Request.method() == http::verb::put)
@@ -180,6 +183,17 @@
     return Condition.empty() || Condition == revisionIn(Stored);
   }
 
+  /// Makes a VM's entry name the proxy of its peer port, if there is one. Not
+  /// every object of the kind is an entry.
+  void replacePeerPort(json::value &Object) const {
+    json::value *Port = Object.at("spec").as_object().if_contains("peer-port");
+    if (!Port)
+      return;
+    const auto Proxy = PeerProxies.find(Port->to_number<unsigned>());
+    if (Proxy != PeerProxies.end())
+      *Port = Proxy->second;
+  }
+
   /// Carries out the writes that were kept back; their callers have left.
   void releaseWrites() {
     for (const http_request &Each : std::exchange(HeldWrites, {}))
@@ -190,9 +204,17 @@
     return textResponse(200, json::serialize(Body));
   }
 
+  static unsigned number(const std::string &Target, std::string_view Name) {
+    return static_cast<unsigned>(std::stoul(queryValue(Target, Name, "0")));
+  }
+
   http_response handleAdminRequest(const std::string &Target) {
     if (pathOf(Target) == "/admin/calls")
       return textResponse(200, "{\"calls\":" + std::to_string(CallCount) + "}");
+    if (pathOf(Target) == "/admin/peer_proxy") {
+      PeerProxies[number(Target, "port")] = number(Target, "proxy");
+      return textResponse(200, "");
+    }
     Faults = {.IsDown = isSet(Target, "down"),
               .IsSilent = isSet(Target, "silent"),
               .Delay = std::chrono::milliseconds(
@@ -219,6 +241,8 @@
   /// kind). Watches started earlier get no events.
   std::map<std::string, unsigned> DeafGenerations;
   std::uint64_t CallCount = 0;
+  /// By peer port of a VM: port of the proxy in front of it.
+  std::map<unsigned, unsigned> PeerProxies;
 };
 
 } // namespace
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -14,11 +14,13 @@
   return static_cast<std::uint16_t>(jsonInteger(Line, Field));
 }
 
-std::unique_ptr<running_proxy> startProxy(std::uint16_t Port) {
+std::unique_ptr<running_proxy> startProxy(std::uint16_t Port,
+                                          bool IsPeerLink = false) {
   auto Proxy = std::make_unique<running_proxy>();
   Proxy->Process = std::make_unique<process>(
       "fault_proxy",
-      std::vector<std::string>{"--target_port=" + std::to_string(Port)});
+      std::vector<std::string>{"--target_port=" + std::to_string(Port),
+                               IsPeerLink ? "--peer_links" : "--nopeer_links"});
   Proxy->Port = static_cast<std::uint16_t>(
       jsonInteger(Proxy->Process->awaitLine("proxying"), "port"));
   Proxy->AdminPort = static_cast<std::uint16_t>(
@@ -127,11 +129,21 @@
   Added->Node.PeerPort = freePort();
   Added->Node.OperatorPort = freePort();
   Added->Proxy = startProxy(PlatformPort);
+  if (ProxiesPeers)
+    addPeerProxy(*Added);
   Nodes.push_back(std::move(Added));
   restart(*Nodes.back());
   return *Nodes.back();
 }
 
+void store_fleet::addPeerProxy(store_node &Node) const {
+  const std::uint16_t Port = Node.Node.PeerPort;
+  Node.PeerProxy = startProxy(Port, true);
+  httpCall(PlatformPort,
+           {.Path = "/admin/peer_proxy?port=" + std::to_string(Port) +
+                    "&proxy=" + std::to_string(Node.PeerProxy->Port)});
+}
+
 void store_fleet::restart(store_node &Each) const {
   running_node &Node = Each.Node;
   const auto Flag = [](const char *Name, std::uint16_t Value) {
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -23,6 +23,8 @@
 struct store_node {
   running_node Node;
   std::unique_ptr<running_proxy> Proxy;
+  /// Between the other VMs and this one; null unless the fleet proxies peers.
+  std::unique_ptr<running_proxy> PeerProxy;
   int TrafficThreads = 1; ///< Applies from the next start.
 };
 
@@ -74,10 +76,14 @@
   std::uint16_t PlatformPort = 0;
   std::vector<std::unique_ptr<store_node>> Nodes;
   std::vector<std::unique_ptr<store_target>> Targets;
+  /// Puts a fault proxy in front of each node's peer port; applies to nodes
+  /// that are added later.
+  bool ProxiesPeers = false;
   /// Flags of all nodes, after those of the fleet; apply from the next start.
   std::vector<std::string> NodeFlags;
 
 private:
+  void addPeerProxy(store_node &Node) const;
   void put(const std::string &Path, const std::string &Body) const;
 };
 
