--- a/src/coordination/routing/internal/shutdown_rule.cpp
+++ b/src/coordination/routing/internal/shutdown_rule.cpp
@@ -29,4 +29,8 @@
          Request.Typical * TypicalLatencyFactor <= TimeLeft;
 }
 
+bool mayWait(const shutdown_schedule &Shutdown, instant Now) {
+  return Now < Shutdown.IdleClosesAt;
+}
+
 } // namespace peridot
--- a/src/coordination/routing/shutdown_rule.h
+++ b/src/coordination/routing/shutdown_rule.h
@@ -37,4 +37,9 @@
 bool endsBeforeShutdown(const request_duration &Request,
                         const shutdown_schedule &Shutdown, instant Now);
 
+/// Whether a request may wait at \p Now for what it needs before it is passed
+/// on. Afterwards it has to be refused, so that its caller gets the refusal
+/// before the process ends.
+bool mayWait(const shutdown_schedule &Shutdown, instant Now);
+
 } // namespace peridot
--- a/src/coordination/routing/tests/shutdown_rule_test.cpp
+++ b/src/coordination/routing/tests/shutdown_rule_test.cpp
@@ -13,7 +13,9 @@
     return endsBeforeShutdown(Request, Shutdown, Shutdown.BeganAt + After);
   }
 
-  shutdown_schedule Shutdown{.BeganAt = instant(100s), .EndsAt = instant(106s)};
+  shutdown_schedule Shutdown{.BeganAt = instant(100s),
+                             .IdleClosesAt = instant(105s),
+                             .EndsAt = instant(106s)};
 };
 
 } // namespace
@@ -47,3 +49,11 @@
   CHECK(!isAccepted(1s, {.Timeout = 8s}));
   CHECK(!isAccepted(1s, {.Timeout = 8s, .Typical = 900ms}));
 }
+
+// Guards against requests that wait until the process ends, which cuts them off
+// without an answer.
+TEST_CASE_FIXTURE(shutdown_rule_fixture,
+                  "mayWait_connectionsAboutToClose_refused") {
+  CHECK(mayWait(Shutdown, Shutdown.IdleClosesAt - 1ms));
+  CHECK(!mayWait(Shutdown, Shutdown.IdleClosesAt));
+}
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -57,6 +57,12 @@
           .Detail = std::string(Detail)};
 }
 
+/// Returns the end of a request that was refused before it was passed on.
+request_end endOf(const refusal &Refusal) {
+  return Refusal.Kind == refusal_kind::RateExceeded ? request_end::RateExceeded
+                                                    : request_end::NotRun;
+}
+
 request_end endOf(const relay_result &Result) {
   if (Result.CallerDisconnected)
     return request_end::Cancelled;
@@ -269,7 +275,7 @@
     co_return Worker.areKeysFresh();
   boost::asio::steady_timer Delay(Worker.loop());
   const auto Limit = std::chrono::steady_clock::now() + MaxConfirmationWait;
-  while (std::chrono::steady_clock::now() < Limit) {
+  while (std::chrono::steady_clock::now() < Limit && mayWaitHere()) {
     Delay.expires_after(ConfirmationPollInterval);
     co_await Delay.async_wait(UseTaskTuple);
     Pending = Worker.requestConfirmationIfDue();
@@ -297,18 +303,27 @@
       encodeAddresses(Preferred, Worker.options().AddressTimeToLive), nullptr);
 }
 
-task<rate_decision> caller_session::takeRate(const client_account &Account) {
+bool caller_session::mayWaitHere() const {
+  const auto &Shutdown = Worker.shutdownSchedule();
+  return !Shutdown || mayWait(*Shutdown, bootNow());
+}
+
+task<std::optional<refusal>>
+caller_session::awaitRate(const admitted_request &Admitted) {
+  const client_account &Account = *Admitted.Account;
   boost::asio::steady_timer Delay(Worker.loop());
   rate_wait Wait(bootNow());
   rate_decision Rate = Worker.takeRate(Account, rate_check::First);
   while (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
+    if (auto Late = checkShutdown(Admitted))
+      co_return Late;
     if (!Wait.shouldContinue(*Refused, bootNow()))
-      break;
+      co_return rateExceeded(Account, *Refused);
     Delay.expires_after(Refused->PollInterval);
     co_await Delay.async_wait(UseTaskTuple);
     Rate = Worker.takeRate(Account, Wait.nextCheck(*Refused, bootNow()));
   }
-  co_return Rate;
+  co_return std::nullopt;
 }
 
 std::optional<refusal>
@@ -337,11 +352,10 @@
   const instant StartedAt = bootNow();
   if (Admitted.Account) {
     Progress.enter(request_step::Rate);
-    const rate_decision Rate = co_await takeRate(*Admitted.Account);
-    if (const auto *Refused = std::get_if<rate_refused>(&Rate)) {
-      const refusal Refusal = rateExceeded(*Admitted.Account, *Refused);
-      Meters.record(request_end::RateExceeded, bootNow() - StartedAt);
-      co_return co_await refuse(Refusal);
+    const std::optional<refusal> Refusal = co_await awaitRate(Admitted);
+    if (Refusal) {
+      Meters.record(endOf(*Refusal), bootNow() - StartedAt);
+      co_return co_await refuse(*Refusal);
     }
   }
   Progress.enter(request_step::Slot);
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -53,7 +53,11 @@
   task<bool> awaitConfirmation(bool HasKey);
   /// Deducts one request from this VM's share of the account's limit; waits
   /// briefly if the VM has requested a share and not received it yet.
-  task<rate_decision> takeRate(const client_account &Account);
+  /// \returns a refusal if there is no share, or if the VM stops too soon.
+  task<std::optional<refusal>> awaitRate(const admitted_request &Admitted);
+  /// Whether a request may wait before it is passed on; false when the process
+  /// is about to end.
+  bool mayWaitHere() const;
   task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
   /// \returns a refusal if the VM is leaving and the request would probably
   /// not end before.
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -81,6 +81,64 @@
   steady_clock::time_point StopSentAt;
 };
 
+/// VMs whose shutdown limit is 2 s, so that they end 1.9 s after SIGTERM and
+/// close idle connections 1.8 s after it, and an account with a limit.
+struct keyed_stop_fixture : store_fleet {
+  /// A request that is sent then is read before idle connections are closed,
+  /// and waits beyond the end of the process.
+  static constexpr std::chrono::milliseconds LastSendTime{1'650};
+  static constexpr const char *LastRequest = "last-request";
+
+  keyed_stop_fixture() {
+    NodeFlags = {"--shutdown_limit=2s"};
+    writeConfiguration(1, {{"keepers", {"keeper-key"}, 1'000, 1'000}});
+    addTarget("hive-1", "lakes-a");
+    addVm("vm-1");
+  }
+
+  void addVm(const std::string &Name) { awaitReady(addNode(Name, "lakes-a")); }
+  process &node(std::size_t Index) const { return *Nodes[Index]->Node.Process; }
+  /// Opens the connection of the last request and waits for a response of this
+  /// status on it.
+  void awaitStatus(unsigned Status) {
+    Kept = std::make_unique<http_connection>(Nodes.front()->Node.CallerPort);
+    awaitCondition("status " + std::to_string(Status), [&] {
+      return callWithKey(*Kept, "/dispatch/1", "keeper-key",
+                         "first-" + std::to_string(++FirstRequests))
+                 .Status == Status;
+    });
+  }
+  /// Stops the first VM and sends it the last request shortly before its end.
+  client_response callBeforeEnd() {
+    const auto StopSentAt = steady_clock::now();
+    node(0).signal(SIGTERM);
+    std::this_thread::sleep_until(StopSentAt + LastSendTime);
+    return callWithKey(*Kept, "/dispatch/1", "keeper-key", LastRequest);
+  }
+  /// Waits for the end of the first VM's process.
+  void checkRefusedAsNotRun(const client_response &Response) const {
+    CHECK(node(0).awaitExit() == 0);
+    INFO(Response.Error);
+    INFO(lastRequestLines());
+    CHECK((Response.Status == 503 || Response.Status == 429));
+    CHECK(Targets.front()->Target.executions().find(LastRequest) ==
+          std::string::npos);
+  }
+  /// Log lines of the first VM about the last request.
+  std::string lastRequestLines() const {
+    awaitCondition("the last line of a node",
+                   [this] { return node(0).hasEnded(); });
+    std::string Found;
+    for (const std::string &Line : node(0).lines())
+      if (Line.find(LastRequest) != std::string::npos)
+        Found += Line + '\n';
+    return Found;
+  }
+
+  std::unique_ptr<http_connection> Kept;
+  int FirstRequests = 0;
+};
+
 } // namespace
 
 // Guards against requests that are reset in the backlog because the process
@@ -201,3 +259,32 @@
   CHECK(Response.Status == 503);
   CHECK(node().awaitExit() == 0);
 }
+
+// Guards against requests that wait for a share of their account's limit until
+// the process ends, which cuts them off without an answer.
+TEST_CASE_FIXTURE(keyed_stop_fixture,
+                  "node_requestWaitsForShareAtLimit_refusedAsNotRun") {
+  addVm("vm-2");
+  awaitStatus(200);
+  // The VM that could grant a share answers no more.
+  node(1).signal(SIGSTOP);
+  checkRefusedAsNotRun(callBeforeEnd());
+}
+
+// Guards against the same when the VM that could grant a share still runs.
+TEST_CASE_FIXTURE(keyed_stop_fixture,
+                  "node_requestWithoutShareAtLimit_refusedAsNotRun") {
+  addVm("vm-2");
+  awaitStatus(200);
+  checkRefusedAsNotRun(callBeforeEnd());
+}
+
+// Guards against requests that wait for a confirmation of their key until the
+// process ends, which cuts them off without an answer.
+TEST_CASE_FIXTURE(keyed_stop_fixture,
+                  "node_requestWaitsForConfirmationAtLimit_refusedAsNotRun") {
+  awaitStatus(200);
+  setPlatformFaults("down=1");
+  awaitStatus(503);
+  checkRefusedAsNotRun(callBeforeEnd());
+}
