--- a/src/coordination/hosting/host_election.h
+++ b/src/coordination/hosting/host_election.h
@@ -120,6 +120,8 @@
   /// Returns the other VMs of this VM's data centre.
   std::vector<vm_name> localPeers() const;
   std::vector<data_center_name> dataCenters() const;
+  /// Returns the number of registered VMs, whether they run or not.
+  std::size_t registeredCount() const { return Vms.size(); }
 
 private:
   /// Requests per second that the number of hosts is fitted to.
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TickPeriod{500};
-/// Demands are reported every this many ticks.
-constexpr std::uint64_t TicksPerDemandReport = 2;
 /// Interval at which a waiting request checks for a grant from the primary.
 constexpr std::chrono::milliseconds GrantPollInterval{4};
 /// Maximum wait for a grant. Includes the time to open a link to the primary.
@@ -32,10 +29,6 @@
 /// a VM that has just used up its own budget.
 constexpr double InitialRetries = 1;
 
-bool isHostOf(std::span<const vm_name> Hosts, const vm_name &Vm) {
-  return std::ranges::find(Hosts, Vm) != Hosts.end();
-}
-
 peer_address peerAddressOf(const registered_vm &Vm) {
   boost::system::error_code Error;
   const auto Address = boost::asio::ip::make_address(Vm.Address, Error);
@@ -47,22 +40,19 @@
 hosting_driver::hosting_driver(node_services &Services,
                                leaving_callback OnLeaving)
     : Services(Services), OnLeaving(std::move(OnLeaving)),
-      Election(Services.Self.Vm, Services.Settings.DataCenter),
-      Demands({.Tolerance = Services.Settings.RateTolerance}),
-      Views(Services.Self.Vm, Services.Settings.DataCenter) {}
+      Machine(Services.Self.Vm, Services.Settings.DataCenter,
+              Services.Settings.RateTolerance),
+      Election(Machine.election()) {}
 
 void hosting_driver::start() {
   Services.Peers.subscribe(frame_subject::Hosts,
                            [this](const peer_hello &Sender, bytes_view Body) {
                              receive(Sender, Body);
                            });
-  LastTick = Services.Timers.now();
+  Machine.start(Services.Timers.now());
   updateRetryBudgets();
-  Timer = Services.Timers.every(TickPeriod, [this](instant Now) { tick(Now); });
-}
-
-bool hosting_driver::isReady() const {
-  return Services.Snapshots.current().Configuration != nullptr && !IsLeaving;
+  Timer = Services.Timers.every(HostingTickPeriod,
+                                [this](instant Now) { tick(Now); });
 }
 
 void hosting_driver::apply(const store_items &Items, bool IsList) {
@@ -89,15 +79,53 @@
 }
 
 void hosting_driver::tick(instant Now) {
-  Election.setSelfReady(isReady());
-  Election.fitHostCount(Now);
+  handle(hosting_ticked{}, Now);
   updateHosting(Now);
-  updateLimitShares(Now);
-  sendReports(Now);
-  ReportedLocalVersion = Views.localVersion(Now);
-  reportDataCenter(Now);
-  LastTick = Now;
-  ++Ticks;
+}
+
+void hosting_driver::handle(const hosting_event &Event, instant Now) {
+  const configuration_ptr Current = Services.Snapshots.current().Configuration;
+  limits_in_force Limits{.IsKnown = Current != nullptr, .Hash = limitsHash()};
+  if (Current)
+    Limits.Accounts = Current->configuration().Accounts;
+  for (const hosting_effect &Each : Machine.handle(Event, Limits, Now))
+    std::visit([this](const auto &Effect) { perform(Effect); }, Each);
+}
+
+void hosting_driver::perform(const outgoing_host_message &Effect) {
+  if (Effect.Recipients.empty())
+    return;
+  const auto Encoded = encodeHostMessage(Effect.Message);
+  for (const vm_name &Each : Effect.Recipients)
+    sendEncoded(Each, Encoded);
+}
+
+void hosting_driver::perform(const hosts_view_changed &Effect) {
+  logEvent(log_level::Info, "hosts-view",
+           {{"version", std::int64_t{Effect.Version}},
+            {"hosts", static_cast<std::int64_t>(Effect.HostCount)},
+            {"silent", static_cast<std::int64_t>(Effect.SilentHostCount)},
+            {"agreed", Effect.IsAgreed}});
+}
+
+void hosting_driver::perform(const host_count_changed & /*Effect*/) {
+  updateRetryBudgets();
+}
+
+void hosting_driver::perform(const refused_beside_idle_part &Effect) {
+  Services.Metrics.getOrCreateCounter("peridot_refused_beside_idle_part_total")
+      .add(Effect.Refusals);
+  logEvent(log_level::Info, "limit-part-idle",
+           {{"refused", std::int64_t{Effect.Refusals}},
+            {"idle_per_s", Effect.IdlePerSecond},
+            {"hosts", static_cast<std::int64_t>(Effect.HostCount)}});
+}
+
+void hosting_driver::perform(const contradictory_report &Effect) {
+  logEvent(log_level::Warning, "hosts-view-contradictory",
+           {{"sender", Effect.Sender.view()},
+            {"data_center", Effect.DataCenter.view()},
+            {"version", std::int64_t{Effect.Version}}});
 }
 
 void hosting_driver::updateHosting(instant Now) {
@@ -115,43 +143,6 @@
                "silent are its hosts"});
 }
 
-void hosting_driver::updateLimitShares(instant Now) {
-  const auto NewDemands = Buckets.takeDemand(
-      std::max<duration>(Now - LastTick, std::chrono::milliseconds(1)));
-  Demands.recordDemand(NewDemands);
-  adoptView(Now, unused_responses::Age);
-}
-
-bool hosting_driver::adoptView(instant Now, unused_responses Responses) {
-  const std::size_t PreviousCount = Fleet.count();
-  Fleet = Election.fleetHosts(Now);
-  const bool IsNew = Views.adopt(Fleet, limitsHash(), Now);
-  const bool IsAgreed = Views.isAgreed(Now);
-  if (IsNew || IsAgreed != IsAgreementApplied)
-    logEvent(log_level::Info, "hosts-view",
-             {{"version", std::int64_t{Views.version()}},
-              {"hosts", static_cast<std::int64_t>(Fleet.count())},
-              {"silent", static_cast<std::int64_t>(Fleet.SilentHostCount)},
-              {"agreed", IsAgreed}});
-  IsAgreementApplied = IsAgreed;
-  if (const configuration_ptr &Current =
-          Services.Snapshots.current().Configuration) {
-    const auto Shares =
-        Demands.shares(Current->configuration().Accounts,
-                       {.Hosts = Fleet.Hosts,
-                        .SilentHostCount = Fleet.SilentHostCount,
-                        .StableHosts = Fleet.StableHosts,
-                        .RegisteredCount = RegisteredVms.size(),
-                        .IsAgreed = IsAgreed},
-                       Services.Self.Vm, Now);
-    Buckets.configure(Shares, Now, Responses);
-    reportIdleParts(Shares);
-  }
-  if (Fleet.count() != PreviousCount)
-    updateRetryBudgets();
-  return IsNew;
-}
-
 std::uint64_t hosting_driver::limitsHash() {
   const configuration_ptr &Current = Services.Snapshots.current().Configuration;
   if (Current == HashedLimits)
@@ -170,61 +161,17 @@
   return LimitsHash;
 }
 
-void hosting_driver::followReport(bool HostsChanged, instant Now) {
-  bool IsNew = false;
-  if (HostsChanged || (!IsAgreementApplied && Views.isAgreed(Now)))
-    IsNew = adoptView(Now, unused_responses::Keep);
-  if (IsNew && Election.isSelfReporter(Now))
-    sendView(Now);
-  const view_version Local = Views.localVersion(Now);
-  if (Local != 0 && Local != ReportedLocalVersion) {
-    ReportedLocalVersion = Local;
-    reportDataCenter(Now);
-  }
-}
-
-void hosting_driver::sendView(instant Now) {
-  host_report Report{
-      .Ready = isReady(), .Leaving = IsLeaving, .View = Views.version()};
-  for (const account_demand &Each : Demands.ownDemand())
-    Report.RequestsPerSecond += Each.PerSecond;
-  const host_message Message = std::move(Report);
-  for (const registered_vm &Vm :
-       Election.hosts(Services.Settings.DataCenter, Now))
-    if (Vm.Vm != Services.Self.Vm)
-      send(Vm.Vm, Message);
-}
-
-void hosting_driver::reportIdleParts(
-    std::span<const account_limit_share> Shares) {
-  const unsigned Refusals = Buckets.takeRefusalsBesideIdlePart();
-  if (Refusals == 0)
-    return;
-  Services.Metrics.getOrCreateCounter("peridot_refused_beside_idle_part_total")
-      .add(Refusals);
-  double IdlePerSecond = 0;
-  for (const account_limit_share &Each : Shares)
-    IdlePerSecond += Each.IdlePerSecond;
-  logEvent(log_level::Info, "limit-part-idle",
-           {{"refused", std::int64_t{Refusals}},
-            {"idle_per_s", IdlePerSecond},
-            {"hosts", static_cast<std::int64_t>(Fleet.count())}});
-}
-
 void hosting_driver::configurationAccepted() {
   if (std::exchange(HasShares, true))
     return;
   const instant Now = Services.Timers.now();
-  // The first division decides how soon this VM's shares grow, so it has to
-  // count this VM as a host if it is one.
-  Election.setSelfReady(isReady());
+  handle(first_configuration_accepted{}, Now);
   updateHosting(Now);
-  updateLimitShares(Now);
 }
 
 void hosting_driver::updateRetryBudgets() {
   const double Count =
-      static_cast<double>(std::max<std::size_t>(Fleet.count(), 1));
+      static_cast<double>(std::max<std::size_t>(Machine.hostCount(), 1));
   for (const auto &Worker : Services.Workers)
     Worker->configureRetries(
         {.RetriesPerSuccess = 0,
@@ -238,80 +185,14 @@
 }
 
 void hosting_driver::settingsChanged() {
-  Demands.setTolerance(Services.Settings.RateTolerance);
+  Machine.setTolerance(Services.Settings.RateTolerance);
   HashedLimits = nullptr;
   updateRetryBudgets();
 }
 
-void hosting_driver::sendReports(instant Now) {
-  if (!Election.isSelfReporter(Now) && !IsLeaving)
-    return;
-  host_report Report{
-      .Ready = isReady(), .Leaving = IsLeaving, .View = Views.version()};
-  for (const account_demand &Each : Demands.ownDemand())
-    Report.RequestsPerSecond += Each.PerSecond;
-  const host_message Brief = Report;
-  std::set<vm_name> Notified;
-  if (Ticks % TicksPerDemandReport == 0) {
-    Demands.markDemandReported();
-    Report.Demands.assign(Demands.ownDemand().begin(),
-                          Demands.ownDemand().end());
-  }
-  const host_message Full = std::move(Report);
-  for (const vm_name &Name : Election.reporters(Now))
-    if (Name != Services.Self.Vm && Notified.insert(Name).second)
-      send(Name, Full);
-  for (const vm_name &Name : Election.localPeers())
-    if (Notified.insert(Name).second)
-      send(Name, Brief);
-}
-
-void hosting_driver::reportDataCenter(instant Now) {
-  const data_center_name &Own = Services.Settings.DataCenter;
-  const std::vector<vm_name> OwnStableHosts = Election.stableHosts(Own, Now);
-  const auto Self = std::ranges::find(OwnStableHosts, Services.Self.Vm);
-  if (Self == OwnStableHosts.end())
-    return;
-  data_center_report Report{.DataCenter = Own, .Weights = Demands.weights()};
-  for (const registered_vm &Vm : Election.hosts(Own, Now))
-    Report.Hosts.push_back(Vm.Vm);
-  // A host may have fallen silent since the view was adopted.
-  if (std::ranges::is_permutation(Report.Hosts, Views.hostsOf(Own)))
-    Report.View = Views.localVersion(Now);
-  const host_message Message = std::move(Report);
-  // Stable hosts send to different VMs of the other data centre, so that there
-  // are two paths to it.
-  const auto Index = static_cast<std::size_t>(Self - OwnStableHosts.begin());
-  for (const data_center_name &Each : Election.dataCenters()) {
-    const std::vector<vm_name> RemoteHosts =
-        Election.reportRecipients(Each, Now);
-    if (Each != Own && !RemoteHosts.empty())
-      send(RemoteHosts[Index % RemoteHosts.size()], Message);
-  }
-}
-
-void hosting_driver::forwardReport(const data_center_report &Report) {
-  const std::vector<vm_name> Reporters =
-      Election.reporters(Services.Timers.now());
-  const auto Full = encodeHostMessage(Report);
-  const auto Brief =
-      encodeHostMessage(data_center_report{.DataCenter = Report.DataCenter,
-                                           .Hosts = Report.Hosts,
-                                           .View = Report.View});
-  for (const vm_name &Name : Election.localPeers()) {
-    const bool IsReporter =
-        std::ranges::find(Reporters, Name) != Reporters.end();
-    sendEncoded(Name, IsReporter ? Full : Brief);
-  }
-}
-
 void hosting_driver::leave() {
-  IsLeaving = true;
   const instant Now = Services.Timers.now();
-  Election.setSelfReady(false);
-  // The shares end before the report that frees them.
-  adoptView(Now, unused_responses::Keep);
-  sendReports(Now);
+  handle(hosting_leave_started{}, Now);
   updateHosting(Now);
 }
 
@@ -336,7 +217,8 @@
                                        rate_check Check) {
   if (Account.Limit.RequestsPerSecond <= 0)
     return rate_admitted{};
-  rate_decision Decision = Buckets.take(Account.Name, Check, bootNow());
+  rate_decision Decision =
+      Machine.buckets().take(Account.Name, Check, bootNow());
   auto *Refused = std::get_if<rate_refused>(&Decision);
   if (!Refused)
     return Decision;
@@ -344,32 +226,12 @@
   Refused->WaitLimit = GrantTimeout;
   Refused->RepeatInterval = GrantRetryInterval;
   if (Check != rate_check::Poll)
-    boost::asio::post(Services.Loop,
-                      [this, Name = Account.Name] { requestGrant(Name); });
+    boost::asio::post(Services.Loop, [this, Name = Account.Name] {
+      handle(share_exhausted{.Account = Name}, Services.Timers.now());
+    });
   return Decision;
 }
 
-void hosting_driver::requestGrant(const account_name &Account) {
-  const vm_name Primary = primaryOf(Account, Fleet.StableHosts);
-  if (!Primary.empty() && Primary != Services.Self.Vm)
-    send(Primary, reserve_request{.Account = Account, .Requests = 1});
-}
-
-void hosting_driver::on(const peer_hello &Sender,
-                        const reserve_request &Request) {
-  const unsigned Granted = Buckets.grantFromReserve(
-      Request.Account, Request.Requests, Services.Timers.now());
-  // A denial (0 requests) is sent too, so that the requester refuses its
-  // caller's request at once instead of waiting for GrantTimeout.
-  send(Sender.Sender.Vm,
-       reserve_grant{.Account = Request.Account, .Requests = Granted});
-}
-
-void hosting_driver::on(const peer_hello & /*Sender*/,
-                        const reserve_grant &Grant) {
-  Buckets.addGrant(Grant.Account, Grant.Requests);
-}
-
 void hosting_driver::reportAttempts(std::vector<attempt_observation> Attempts) {
   boost::asio::post(Services.Loop, [this, Ended = std::move(Attempts)] {
     sendEvidence(Ended);
@@ -423,37 +285,27 @@
 }
 
 void hosting_driver::on(const peer_hello &Sender, const host_report &Report) {
-  const instant Now = Services.Timers.now();
-  const vm_name &Vm = Sender.Sender.Vm;
-  Election.recordReport(Vm, Report, Now);
-  Views.recordReport(Vm, Report.View, Now);
-  if (Report.Leaving)
-    Demands.forgetHost(Vm);
-  else if (!Report.Demands.empty())
-    Demands.recordReport(Vm, Report.Demands, Now);
-  const bool IsInView =
-      isHostOf(Views.hostsOf(Services.Settings.DataCenter), Vm);
-  followReport(IsInView && (Report.Leaving || !Report.Ready), Now);
+  handle(host_report_received{.Sender = Sender.Sender.Vm, .Report = Report},
+         Services.Timers.now());
 }
 
 void hosting_driver::on(const peer_hello &Sender,
                         const data_center_report &Report) {
-  const data_center_name &Own = Services.Settings.DataCenter;
-  if (Report.DataCenter == Own)
-    return;
-  const instant Now = Services.Timers.now();
-  Election.recordReport(Report, Now);
-  Demands.recordReport(Report, Now);
-  if (Sender.DataCenter != Own)
-    forwardReport(Report);
-  if (!Views.recordReport(Report, Now))
-    logEvent(log_level::Warning, "hosts-view-contradictory",
-             {{"sender", Sender.Sender.Vm.view()},
-              {"data_center", Report.DataCenter.view()},
-              {"version", std::int64_t{Report.View}}});
-  followReport(!std::ranges::is_permutation(Report.Hosts,
-                                            Views.hostsOf(Report.DataCenter)),
-               Now);
+  handle(data_center_report_received{.Sender = Sender.Sender.Vm,
+                                     .SenderDataCenter = Sender.DataCenter,
+                                     .Report = Report},
+         Services.Timers.now());
+}
+
+void hosting_driver::on(const peer_hello &Sender,
+                        const reserve_request &Request) {
+  handle(reserve_requested{.Sender = Sender.Sender.Vm, .Request = Request},
+         Services.Timers.now());
+}
+
+void hosting_driver::on(const peer_hello & /*Sender*/,
+                        const reserve_grant &Grant) {
+  handle(reserve_granted{.Grant = Grant}, Services.Timers.now());
 }
 
 void hosting_driver::on(const peer_hello & /*Sender*/,
