--- a/src/coordination/hosting/account_buckets.h
+++ b/src/coordination/hosting/account_buckets.h
@@ -18,6 +18,11 @@
 
 class account_buckets {
 public:
+  account_buckets() = default;
+  /// Copies the state; the copy is independent of \p Other.
+  account_buckets(const account_buckets &Other);
+  account_buckets &operator=(const account_buckets &) = delete;
+
   /// Replaces the shares; accounts without one are not limited from then on.
   void configure(std::span<const account_limit_share> Shares, instant Now,
                  unused_responses Responses = unused_responses::Age);
@@ -39,6 +44,8 @@
   unsigned takeRefusalsBesideIdlePart();
 
 private:
+  friend struct state_digest; ///< Tests recognise equal states by it.
+
   struct token_bucket {
     rate_limit Limit;
     double Tokens = 0;
@@ -86,7 +93,7 @@
     unsigned RequestCount = 0; ///< Since the last takeDemand().
   };
 
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
   std::unordered_map<account_name, bucket> Buckets;
   unsigned RefusalsBesideIdlePart = 0;
 };
--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -135,6 +135,8 @@
          const vm_name &Self, instant Now);
 
 private:
+  friend struct state_digest; ///< Tests recognise equal states by it.
+
   struct reported_demand {
     instant ReceivedAt{};
     std::map<account_name, double> PerSecond;
--- a/src/coordination/hosting/host_election.h
+++ b/src/coordination/hosting/host_election.h
@@ -124,6 +124,8 @@
   std::size_t registeredCount() const { return Vms.size(); }
 
 private:
+  friend struct state_digest; ///< Tests recognise equal states by it.
+
   /// Requests per second that the number of hosts is fitted to.
   struct fitted_rate {
     double PerSecond = 0;
--- a/src/coordination/hosting/hosting_machine.h
+++ b/src/coordination/hosting/hosting_machine.h
@@ -39,6 +39,8 @@
   std::size_t hostCount() const { return Fleet.count(); }
 
 private:
+  friend struct state_digest; ///< Tests recognise equal states by it.
+
   /// What one call of handle() works with.
   struct step {
     const limits_in_force &Limits;
--- a/src/coordination/hosting/internal/account_buckets.cpp
+++ b/src/coordination/hosting/internal/account_buckets.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+account_buckets::account_buckets(const account_buckets &Other) {
+  const std::lock_guard Lock(Other.Mutex);
+  Buckets = Other.Buckets;
+  RefusalsBesideIdlePart = Other.RefusalsBesideIdlePart;
+}
+
 void account_buckets::token_bucket::refill(instant Now) {
   double Rate = Limit.RequestsPerSecond;
   if (Window > duration{0} && Now >= BurstRefillsFrom)
--- a/src/coordination/hosting/sliding_count.h
+++ b/src/coordination/hosting/sliding_count.h
@@ -19,6 +19,8 @@
   unsigned count(instant Now);
 
 private:
+  friend struct state_digest; ///< Tests recognise equal states by it.
+
   static constexpr std::int64_t SlotsInWindow = 20;
   /// The oldest slot counts until all of it has left the window.
   static constexpr std::int64_t Slots = SlotsInWindow + 1;
--- a/src/coordination/hosting/view_agreement.h
+++ b/src/coordination/hosting/view_agreement.h
@@ -74,6 +74,8 @@
   bool isAgreed(instant Now) const;
 
 private:
+  friend struct state_digest; ///< Tests recognise equal states by it.
+
   struct reported_version {
     view_version Version = 0;
     instant ReceivedAt{};
