--- a/src/coordination/hosting/internal/host_election.cpp
+++ b/src/coordination/hosting/internal/host_election.cpp
@@ -191,11 +191,10 @@
   std::vector<vm_name> Names = stableHosts(Where, Now);
   if (!Names.empty())
     return Names;
-  // The data centre is silent: try the VMs that rank first there.
-  std::vector<registered_vm> All;
+  // The data centre is silent: any of its VMs that runs passes the report on.
   for (const known_vm *Each : ranked(Where))
-    All.push_back(Each->Vm);
-  return firstNames(All);
+    Names.push_back(Each->Vm.Vm);
+  return Names;
 }
 
 std::vector<vm_name>
--- a/src/coordination/hosting/internal/hosting_machine.cpp
+++ b/src/coordination/hosting/internal/hosting_machine.cpp
@@ -228,8 +228,10 @@
   if (std::ranges::is_permutation(Report.Hosts, Views.hostsOf(DataCenter)))
     Report.View = Views.localVersion(Now);
   // Stable hosts send to different VMs of the other data centre, so that there
-  // are two paths to it.
-  const auto Index = static_cast<std::size_t>(Found - OwnStableHosts.begin());
+  // are two paths to it, and to another one at each tick, as one that was lost
+  // may still be among them.
+  const auto Index =
+      static_cast<std::size_t>(Found - OwnStableHosts.begin()) + Ticks;
   outgoing_host_message Outgoing{.Message = std::move(Report)};
   for (const data_center_name &Each : Election.dataCenters()) {
     const std::vector<vm_name> RemoteHosts =
--- a/tests/model/fleet_model_test.cpp
+++ b/tests/model/fleet_model_test.cpp
@@ -9,13 +9,29 @@
 
 /// Four VMs, two in each of two data centres, that have run for long.
 struct fleet_model_fixture {
+  static constexpr std::size_t A1 = 0;
+  static constexpr std::size_t A2 = 1;
+  static constexpr std::size_t B1 = 2;
+  static constexpr std::size_t B2 = 3;
   static constexpr unsigned SteadySteps = std::chrono::minutes(2) / ModelStep;
+  static constexpr unsigned LongSteps = std::chrono::seconds(30) / ModelStep;
 
-  fleet_model_fixture() {
+  explicit fleet_model_fixture(const modelled_fleet &Vms = fleetOf(4))
+      : Fleet(Vms) {
     Model.startAll();
     pass(SteadySteps);
   }
 
+  /// Applies \p Changes in one step.
+  void change(const std::vector<fleet_change> &Changes) {
+    Model.beginStep();
+    for (const fleet_change &Each : Changes)
+      Model.apply(Each);
+    Model.tick();
+    while (Model.hasMessage())
+      Model.deliver();
+  }
+
   /// Lets \p Steps pass and checks that no limit is exceeded.
   void pass(unsigned Steps) {
     for (; Steps > 0; --Steps) {
@@ -26,11 +42,23 @@
     }
   }
 
-  modelled_fleet Fleet = fleetOf(4);
+  modelled_fleet Fleet;
   fleet_model Model{Fleet};
   unsigned WindowsAboveLimit = 0;
 };
 
+/// Six VMs, three in each data centre.
+struct large_fleet_fixture : fleet_model_fixture {
+  large_fleet_fixture() : fleet_model_fixture(sixVms()) {}
+
+  static modelled_fleet sixVms() {
+    modelled_fleet Vms = fleetOf(4);
+    Vms.Vms.push_back({"a-3", "lakes-a", true});
+    Vms.Vms.push_back({"b-3", "lakes-b", false});
+    return Vms;
+  }
+};
+
 /// Searches with every kind of departure, and few enough to be done without
 /// leaving out states that were seen.
 search_result searchSmall(bool LeavesOutSeenStates) {
@@ -61,3 +89,19 @@
   for (std::size_t Account = 0; Account < Fleet.Accounts.size(); ++Account)
     CHECK(Model.admittedInWindow(Account) >= Model.minAdmitted(Account));
 }
+
+// Guards against data centres that report to each other's lost VMs only, so
+// that each divides the limits without the other.
+TEST_CASE_FIXTURE(fleet_model_fixture,
+                  "fleet_firstVmOfEachDataCenterKilled_noLimitExceeded") {
+  change({kill_vm{A1}, kill_vm{B1}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
+
+TEST_CASE_FIXTURE(large_fleet_fixture,
+                  "fleet_firstTwoVmsOfEachDataCenterKilled_noLimitExceeded") {
+  change({kill_vm{A1}, kill_vm{A2}, kill_vm{B1}, kill_vm{B2}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
