--- a/src/coordination/hosting/account_buckets.h
+++ b/src/coordination/hosting/account_buckets.h
@@ -18,7 +18,9 @@
 
 class account_buckets {
 public:
-  account_buckets() = default;
+  /// \param Lease how long after configure() shares may be used. A VM that was
+  /// frozen for longer may hold parts that others have been given.
+  explicit account_buckets(duration Lease = duration::max()) : Lease(Lease) {}
   /// Copies the state; the copy is independent of \p Other.
   account_buckets(const account_buckets &Other);
   account_buckets &operator=(const account_buckets &) = delete;
@@ -94,6 +96,10 @@
   };
 
   mutable std::mutex Mutex;
+  bool isLeaseOver(instant Now) const { return Now - ConfiguredAt > Lease; }
+
+  duration Lease;
+  instant ConfiguredAt{};
   std::unordered_map<account_name, bucket> Buckets;
   unsigned RefusalsBesideIdlePart = 0;
 };
--- a/src/coordination/hosting/internal/account_buckets.cpp
+++ b/src/coordination/hosting/internal/account_buckets.cpp
@@ -20,8 +20,10 @@
 
 } // namespace
 
-account_buckets::account_buckets(const account_buckets &Other) {
+account_buckets::account_buckets(const account_buckets &Other)
+    : Lease(Other.Lease) {
   const std::lock_guard Lock(Other.Mutex);
+  ConfiguredAt = Other.ConfiguredAt;
   Buckets = Other.Buckets;
   RefusalsBesideIdlePart = Other.RefusalsBesideIdlePart;
 }
@@ -92,6 +94,9 @@
     Bucket.IsLimited = false;
   for (const account_limit_share &Share : Shares) {
     bucket &Bucket = Buckets[Share.Account];
+    // Others may have used what this VM did not.
+    if (isLeaseOver(Now))
+      Bucket.OwnShare = Bucket.Reserve = {};
     if (Responses == unused_responses::Age) {
       Bucket.Granted.age();
       Bucket.Denied.age();
@@ -105,6 +110,7 @@
     Bucket.IsLimited = true;
     Bucket.HasIdlePart = Share.IdlePerSecond >= MinIdlePerSecond;
   }
+  ConfiguredAt = Now;
 }
 
 rate_decision account_buckets::take(const account_name &Account,
@@ -115,8 +121,9 @@
     ++Bucket.RequestCount;
   // Grants are for requests that were refused and requested one.
   const bool HasRequested = Check != rate_check::First;
-  if (!Bucket.IsLimited || Bucket.OwnShare.take(Now) ||
-      Bucket.Reserve.take(Now) || (HasRequested && Bucket.Granted.take()))
+  const bool HasShare = !isLeaseOver(Now) &&
+                        (Bucket.OwnShare.take(Now) || Bucket.Reserve.take(Now));
+  if (!Bucket.IsLimited || HasShare || (HasRequested && Bucket.Granted.take()))
     return rate_admitted{};
   if (Bucket.HasIdlePart && !HasRequested)
     ++RefusalsBesideIdlePart;
@@ -140,7 +147,7 @@
   const std::lock_guard Lock(Mutex);
   const auto Found = Buckets.find(Account);
   unsigned Granted = 0;
-  while (Found != Buckets.end() && Granted < Requests &&
+  while (Found != Buckets.end() && !isLeaseOver(Now) && Granted < Requests &&
          Found->second.Reserve.take(Now))
     ++Granted;
   if (Granted < Requests && Found != Buckets.end() && Found->second.HasIdlePart)
--- a/src/coordination/hosting/internal/hosting_machine.cpp
+++ b/src/coordination/hosting/internal/hosting_machine.cpp
@@ -10,6 +10,11 @@
 
 /// Demands are reported every this many ticks.
 constexpr std::uint64_t TicksPerDemandReport = 2;
+/// How long shares may be used without being computed anew. The others count
+/// this VM's part as free view_agreement_options::LeaseTime after its last
+/// report, which may be older than the shares by a tick.
+constexpr duration ShareLease =
+    view_agreement_options{}.LeaseTime - HostingTickPeriod;
 
 bool isHostOf(std::span<const vm_name> Hosts, const vm_name &Vm) {
   return std::ranges::find(Hosts, Vm) != Hosts.end();
@@ -21,7 +26,8 @@
                                  const data_center_name &DataCenter,
                                  const rate_tolerance &Tolerance)
     : Self(Self), DataCenter(DataCenter), Election(Self, DataCenter),
-      Demands({.Tolerance = Tolerance}), Views(Self, DataCenter) {}
+      Demands({.Tolerance = Tolerance}), Views(Self, DataCenter),
+      Buckets(ShareLease) {}
 
 hosting_machine::effects hosting_machine::handle(const hosting_event &Event,
                                                  const limits_in_force &Limits,
--- a/tests/model/fleet_model_test.cpp
+++ b/tests/model/fleet_model_test.cpp
@@ -16,10 +16,11 @@
   static constexpr unsigned SteadySteps = std::chrono::minutes(2) / ModelStep;
   static constexpr unsigned LongSteps = std::chrono::seconds(30) / ModelStep;
 
-  explicit fleet_model_fixture(const modelled_fleet &Vms = fleetOf(4))
+  explicit fleet_model_fixture(const modelled_fleet &Vms = fleetOf(4),
+                               unsigned Steps = SteadySteps)
       : Fleet(Vms) {
     Model.startAll();
-    pass(SteadySteps);
+    pass(Steps);
   }
 
   /// Applies \p Changes in one step.
@@ -105,3 +106,16 @@
   pass(LongSteps);
   CHECK(WindowsAboveLimit == 0);
 }
+
+// Guards against a VM that was frozen and uses, before it hears of the others,
+// what these were given meanwhile.
+TEST_CASE_FIXTURE(fleet_model_fixture,
+                  "fleet_primaryFrozenForLong_holdsNothingWhenItWakes") {
+  constexpr unsigned ShortSteps = 3;
+  constexpr unsigned FrozenSteps = std::chrono::seconds(3) / ModelStep;
+  change({freeze_vm{A1, ShortSteps}, freeze_vm{A2, FrozenSteps}});
+  pass(FrozenSteps - 1);
+  change({freeze_vm{A2, ShortSteps}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
--- a/tests/model/state_digest.cpp
+++ b/tests/model/state_digest.cpp
@@ -193,6 +193,7 @@
     Sum += Entry.Value;
   }
   add(Sum);
+  add(Buckets.ConfiguredAt);
   add(Buckets.RefusalsBesideIdlePart);
 }
 
