--- a/tests/model/fleet_model_test.cpp
+++ b/tests/model/fleet_model_test.cpp
@@ -60,6 +60,11 @@
   }
 };
 
+/// Four VMs that have just started.
+struct new_fleet_fixture : fleet_model_fixture {
+  new_fleet_fixture() : fleet_model_fixture(fleetOf(4), 0) {}
+};
+
 /// Searches with every kind of departure, and few enough to be done without
 /// leaving out states that were seen.
 search_result searchSmall(bool LeavesOutSeenStates) {
@@ -119,3 +124,45 @@
   pass(LongSteps);
   CHECK(WindowsAboveLimit == 0);
 }
+
+// Guards against a VM that goes on with its old part while the others, which
+// hear nothing of it, have divided the limits without it.
+TEST_CASE_FIXTURE(fleet_model_fixture,
+                  "fleet_vmHeardByNoOneButHearsAll_noLimitExceeded") {
+  change({cut_vm{A2, cut_direction::From, LongSteps}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
+
+// Guards against a VM that hears of none in its data centre and uses limits
+// whole whose primaries go on.
+TEST_CASE_FIXTURE(fleet_model_fixture, "fleet_vmCutOff_noLimitExceeded") {
+  constexpr unsigned CutSteps = std::chrono::seconds(3) / ModelStep;
+  change({cut_vm{B2, cut_direction::Both, CutSteps}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
+
+// Guards against VMs of one data centre that count the hosts of a silent one
+// differently, so that a limit is whole for one and divided for the other.
+TEST_CASE_FIXTURE(new_fleet_fixture,
+                  "fleet_dataCenterLostInTwoSteps_noLimitExceeded") {
+  change({leave_vm{B2}});
+  change({kill_vm{B1}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
+
+// Guards against a VM that wakes, hears of none for a moment, and uses limits
+// whole whose primaries go on.
+TEST_CASE_FIXTURE(new_fleet_fixture,
+                  "fleet_vmWakesAndHearsNothing_noLimitExceeded") {
+  constexpr unsigned FrozenSteps = std::chrono::seconds(3) / ModelStep;
+  constexpr unsigned StepsToCut = 10;
+  constexpr unsigned CutSteps = 3;
+  change({freeze_vm{B1, FrozenSteps}});
+  pass(StepsToCut - 1);
+  change({cut_vm{B1, cut_direction::To, CutSteps}});
+  pass(LongSteps);
+  CHECK(WindowsAboveLimit == 0);
+}
