--- a/src/coordination/hosting/hosting_machine.h
+++ b/src/coordination/hosting/hosting_machine.h
@@ -7,6 +7,7 @@
 
 #include "coordination/hosting/account_buckets.h"
 #include "coordination/hosting/demand_shares.h"
+#include "coordination/hosting/departed_vms.h"
 #include "coordination/hosting/host_election.h"
 #include "coordination/hosting/types/hosting_events.h"
 #include "coordination/hosting/view_agreement.h"
@@ -21,7 +22,8 @@
   using effects = std::vector<hosting_effect>;
 
   hosting_machine(const vm_name &Self, const data_center_name &DataCenter,
-                  const rate_tolerance &Tolerance);
+                  const rate_tolerance &Tolerance,
+                  const departed_vm_options &DepartedOptions = {});
 
   /// Begins to measure demand.
   void start(instant Now) { LastTick = Now; }
@@ -34,6 +36,7 @@
                  instant Now);
 
   host_election &election() { return Election; }
+  departed_vms &departed() { return Departed; }
   account_buckets &buckets() { return Buckets; }
   /// Returns the number of hosts that limits are divided by.
   std::size_t hostCount() const { return Fleet.count(); }
@@ -75,6 +78,8 @@
   void reportIdleParts(std::span<const account_limit_share> Shares, step &Step);
   /// Returns this VM's report, without the demands.
   host_report briefReport(const limits_in_force &Limits) const;
+  /// Returns the other VMs of this data centre, including those that stop.
+  std::vector<vm_name> localPeers(instant Now) const;
   /// Reports this VM's state to the other VMs of its data centre.
   void sendReports(step &Step);
   /// Reports this data centre's hosts to the other data centres.
@@ -86,6 +91,7 @@
   vm_name Self;
   data_center_name DataCenter;
   host_election Election;
+  departed_vms Departed;
   demand_shares Demands;
   view_agreement Views;
   account_buckets Buckets;
--- a/src/coordination/hosting/internal/hosting_machine.cpp
+++ b/src/coordination/hosting/internal/hosting_machine.cpp
@@ -1,6 +1,7 @@
 #include "coordination/hosting/hosting_machine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -24,10 +25,11 @@
 
 hosting_machine::hosting_machine(const vm_name &Self,
                                  const data_center_name &DataCenter,
-                                 const rate_tolerance &Tolerance)
+                                 const rate_tolerance &Tolerance,
+                                 const departed_vm_options &DepartedOptions)
     : Self(Self), DataCenter(DataCenter), Election(Self, DataCenter),
-      Demands({.Tolerance = Tolerance}), Views(Self, DataCenter),
-      Buckets(ShareLease) {}
+      Departed(Self, DepartedOptions), Demands({.Tolerance = Tolerance}),
+      Views(Self, DataCenter), Buckets(ShareLease) {}
 
 hosting_machine::effects hosting_machine::handle(const hosting_event &Event,
                                                  const limits_in_force &Limits,
@@ -212,13 +214,20 @@
   for (const vm_name &Name : Election.reporters(Step.Now))
     if (Name != Self && Notified.insert(Name).second)
       Full.Recipients.push_back(Name);
-  for (const vm_name &Name : Election.localPeers())
+  for (const vm_name &Name : localPeers(Step.Now))
     if (Notified.insert(Name).second)
       Brief.Recipients.push_back(Name);
   Step.Effects.emplace_back(std::move(Full));
   Step.Effects.emplace_back(std::move(Brief));
 }
 
+std::vector<vm_name> hosting_machine::localPeers(instant Now) const {
+  std::vector<vm_name> Names = Election.localPeers();
+  std::ranges::move(Departed.reportRecipients(DataCenter, Now),
+                    std::back_inserter(Names));
+  return Names;
+}
+
 void hosting_machine::reportDataCenter(step &Step) {
   const instant Now = Step.Now;
   const std::vector<vm_name> OwnStableHosts =
@@ -256,7 +265,7 @@
       .Message = data_center_report{.DataCenter = Report.DataCenter,
                                     .Hosts = Report.Hosts,
                                     .View = Report.View}};
-  for (const vm_name &Name : Election.localPeers())
+  for (const vm_name &Name : localPeers(Step.Now))
     (isHostOf(Reporters, Name) ? Full : Brief).Recipients.push_back(Name);
   Step.Effects.emplace_back(std::move(Full));
   Step.Effects.emplace_back(std::move(Brief));
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -1,7 +1,6 @@
 #include "transport/node/internal/hosting_driver.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -41,7 +40,8 @@
                                leaving_callback OnLeaving)
     : Services(Services), OnLeaving(std::move(OnLeaving)),
       Machine(Services.Self.Vm, Services.Settings.DataCenter,
-              Services.Settings.RateTolerance),
+              Services.Settings.RateTolerance,
+              {.MaxStopTime = Services.Settings.ShutdownLimit}),
       Election(Machine.election()) {}
 
 void hosting_driver::start() {
@@ -66,19 +66,28 @@
       RegisteredVms[Vm->Vm] = {.Vm = *Vm, .Rank = Item.Revision};
   }
   std::vector<ranked_vm> Ranked;
-  std::vector<peer_address> Peers;
-  for (const auto &[Name, Each] : RegisteredVms) {
+  for (const auto &[Name, Each] : RegisteredVms)
     Ranked.push_back(Each);
-    if (Name != Services.Self.Vm)
-      Peers.push_back(peerAddressOf(Each.Vm));
-  }
-  Services.Peers.setPeers(Peers);
   const instant Now = Services.Timers.now();
+  Machine.departed().setRegisteredVms(Ranked, Now);
+  updatePeers();
   Election.setRegisteredVms(Ranked, Now);
   updateHosting(Now);
 }
 
+void hosting_driver::updatePeers() {
+  std::vector<peer_address> Peers;
+  for (const auto &[Name, Each] : RegisteredVms)
+    if (Name != Services.Self.Vm)
+      Peers.push_back(peerAddressOf(Each.Vm));
+  for (const registered_vm &Each : Machine.departed().reachable())
+    Peers.push_back(peerAddressOf(Each));
+  Services.Peers.setPeers(Peers);
+}
+
 void hosting_driver::tick(instant Now) {
+  if (Machine.departed().dropEnded(Now))
+    updatePeers();
   handle(hosting_ticked{}, Now);
   updateHosting(Now);
 }
@@ -185,6 +194,7 @@
 }
 
 void hosting_driver::settingsChanged() {
+  Machine.departed().setMaxStopTime(Services.Settings.ShutdownLimit);
   Machine.setTolerance(Services.Settings.RateTolerance);
   HashedLimits = nullptr;
   updateRetryBudgets();
@@ -281,6 +291,8 @@
     logError("host-message-refused", Message.error());
     return;
   }
+  Machine.departed().recordMessage(Sender.Sender.Vm, Sender.Sender.Incarnation,
+                                   Services.Timers.now());
   std::visit([&](const auto &Each) { on(Sender, Each); }, *Message);
 }
 
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -45,6 +45,8 @@
 
 private:
   void tick(instant Now);
+  /// Sets the VMs that messages can be sent to.
+  void updatePeers();
   /// Lets the machine process \p Event and performs its effects.
   void handle(const hosting_event &Event, instant Now);
   void perform(const outgoing_host_message &Effect);
