--- a/src/coordination/hosting/departed_vms.h
+++ b/src/coordination/hosting/departed_vms.h
@@ -23,6 +23,16 @@
   /// Reports go to a departed VM until nothing was received from it for this
   /// time. While it stops, it sends reports itself.
   duration SilenceLimit = hosting_options().SilenceLimit;
+  /// Number of VMs that reports of other data centres go to.
+  std::size_t RemoteRecipients = hosting_options().MinHosts;
+};
+
+/// The VMs that were the last to depart from a data centre.
+struct emptied_data_center {
+  data_center_name DataCenter;
+  std::vector<vm_name> LastVms; ///< The last one is first.
+
+  bool operator==(const emptied_data_center &) const = default;
 };
 
 class departed_vms {
@@ -47,6 +57,10 @@
   std::vector<vm_name> reportRecipients(const data_center_name &DataCenter,
                                         instant Now) const;
 
+  /// Returns the data centres of departed VMs without any registered VM. Others
+  /// report to the registered VMs, which pass it on.
+  std::vector<emptied_data_center> emptiedDataCenters() const;
+
 private:
   struct departed_vm {
     registered_vm Vm;
@@ -54,6 +68,8 @@
     instant LastHeardAt{};
   };
 
+  bool hasRegisteredVm(const data_center_name &DataCenter) const;
+
   vm_name Self;
   departed_vm_options Options;
   std::map<vm_name, registered_vm> Registered;
--- a/src/coordination/hosting/internal/departed_vms.cpp
+++ b/src/coordination/hosting/internal/departed_vms.cpp
@@ -1,5 +1,6 @@
 #include "coordination/hosting/departed_vms.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace peridot {
@@ -48,4 +49,29 @@
   return Names;
 }
 
+bool departed_vms::hasRegisteredVm(const data_center_name &DataCenter) const {
+  return std::ranges::any_of(Registered, [&](const auto &Each) {
+    return Each.second.DataCenter == DataCenter;
+  });
+}
+
+std::vector<emptied_data_center> departed_vms::emptiedDataCenters() const {
+  std::vector<const departed_vm *> LastFirst;
+  for (const auto &[Name, Each] : Departed)
+    if (!hasRegisteredVm(Each.Vm.DataCenter))
+      LastFirst.push_back(&Each);
+  std::ranges::stable_sort(LastFirst, std::ranges::greater(),
+                           &departed_vm::DepartedAt);
+  std::vector<emptied_data_center> Emptied;
+  for (const departed_vm *Each : LastFirst) {
+    auto Found = std::ranges::find(Emptied, Each->Vm.DataCenter,
+                                   &emptied_data_center::DataCenter);
+    if (Found == Emptied.end())
+      Found = Emptied.insert(Found, {.DataCenter = Each->Vm.DataCenter});
+    if (Found->LastVms.size() < Options.RemoteRecipients)
+      Found->LastVms.push_back(Each->Vm.Vm);
+  }
+  return Emptied;
+}
+
 } // namespace peridot
--- a/src/coordination/hosting/internal/hosting_machine.cpp
+++ b/src/coordination/hosting/internal/hosting_machine.cpp
@@ -254,6 +254,9 @@
     if (Each != DataCenter && !RemoteHosts.empty())
       Outgoing.Recipients.push_back(RemoteHosts[Index % RemoteHosts.size()]);
   }
+  for (const emptied_data_center &Each : Departed.emptiedDataCenters())
+    if (Each.DataCenter != DataCenter)
+      Outgoing.Recipients.push_back(Each.LastVms[Index % Each.LastVms.size()]);
   Step.Effects.emplace_back(std::move(Outgoing));
 }
 
--- a/src/coordination/hosting/tests/departed_vms_test.cpp
+++ b/src/coordination/hosting/tests/departed_vms_test.cpp
@@ -154,6 +154,37 @@
   CHECK(!isRecipient(Neighbour));
 }
 
+TEST_CASE_FIXTURE(departed_vms_fixture, "emptiedDataCenters_oneVmLeft_none") {
+  const ranked_vm OtherRemote = vm("b-2", "lakes-b");
+  list({Self, Neighbour, Remote, OtherRemote});
+  list({Self, OtherRemote});
+  CHECK(Departed.emptiedDataCenters().empty());
+}
+
+TEST_CASE_FIXTURE(departed_vms_fixture,
+                  "emptiedDataCenters_allVmsLeft_lastOnesUntilTheyEnd") {
+  const ranked_vm First = vm("b-2", "lakes-b");
+  const ranked_vm Last = vm("b-0", "lakes-b");
+  list({Self, Neighbour, Remote, First, Last});
+  list({Self, Neighbour, Remote, Last});
+  Now += 1s;
+  list({Self, Neighbour, Last});
+  Now += 1s;
+  list({Self, Neighbour});
+  CHECK(Departed.emptiedDataCenters() ==
+        std::vector<emptied_data_center>{
+            {.DataCenter = Remote.Vm.DataCenter,
+             .LastVms = {Last.Vm.Vm, Remote.Vm.Vm}}});
+  Now += MaxStopTime - 1s;
+  Departed.dropEnded(Now);
+  CHECK(Departed.emptiedDataCenters() ==
+        std::vector<emptied_data_center>{
+            {.DataCenter = Remote.Vm.DataCenter, .LastVms = {Last.Vm.Vm}}});
+  Now += 1s;
+  Departed.dropEnded(Now);
+  CHECK(Departed.emptiedDataCenters().empty());
+}
+
 TEST_CASE_FIXTURE(departed_vms_fixture,
                   "reportRecipients_otherDataCentre_none") {
   list({Self, Neighbour});
--- a/tests/integration/stop_limits_test.cpp
+++ b/tests/integration/stop_limits_test.cpp
@@ -71,7 +71,10 @@
 /// Three VMs in one data centre and two in another; vm-0 and vm-1 are the
 /// stable hosts of theirs.
 struct stop_limits_fixture : store_fleet {
-  void startFleet(const std::vector<store_account> &Accounts) {
+  void startFleet(const std::vector<store_account> &Accounts,
+                  std::chrono::seconds ShutdownLimit = 4s) {
+    NodeFlags = {"--shutdown_limit=" + std::to_string(ShutdownLimit.count()) +
+                 "s"};
     writeConfiguration(1, Accounts);
     addTarget("hive-1", "lakes-a");
     addTarget("hive-2", "lakes-b");
@@ -155,14 +158,19 @@
 
 /// A fleet whose accounts use next to nothing of their limits.
 struct ample_limits_fixture : stop_limits_fixture {
-  ample_limits_fixture() {
-    startFleet(makeAccounts(AmpleRate, AmpleRate));
+  explicit ample_limits_fixture(std::chrono::seconds ShutdownLimit = 4s) {
+    startFleet(makeAccounts(AmpleRate, AmpleRate), ShutdownLimit);
     for (const auto &Each : Nodes)
       for (int Account = 0; Account < AccountCount; ++Account)
         awaitServed(*Each, Account);
   }
 };
 
+/// The time of a stop exceeds that for which a data centre's report is valid.
+struct long_stop_fixture : ample_limits_fixture {
+  long_stop_fixture() : ample_limits_fixture(7s) {}
+};
+
 } // namespace
 
 // Guards against requests that wait in vain for a share of an ample limit at a
@@ -190,6 +198,18 @@
     checkServed(SinceStop);
 }
 
+// Guards against VMs that know no primary any more, as data centres reported to
+// registered VMs only.
+TEST_CASE_FIXTURE(long_stop_fixture,
+                  "nodes_longStopOfDataCentre_requestsServedWithoutWait") {
+  openConnections(*Nodes[1], 4 * AccountCount);
+  for (const std::size_t Index : {0, 2, 1})
+    stop(*Nodes[Index]);
+  awaitListed(*Nodes[3], 2);
+  for (const milliseconds SinceStop : {3'000ms, 4'500ms, 5'200ms, 6'000ms})
+    checkServed(SinceStop);
+}
+
 // Guards against requests that are held for the longest wait when the limit is
 // used up, as a denial doesn't reach the VM that stops.
 TEST_CASE_FIXTURE(stop_limits_fixture,
