--- a/tests/integration/stop_limits_test.cpp
+++ b/tests/integration/stop_limits_test.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <span>
 #include <thread>
 #include <vector>
 
@@ -25,6 +26,8 @@
 /// Several accounts, so that each stable host is the primary of some.
 constexpr int AccountCount = 12;
 constexpr double AmpleRate = 1'000;
+/// Pause of a caller between two requests.
+constexpr milliseconds RequestPause{20};
 
 std::string accountKey(int Account) { return "key-" + std::to_string(Account); }
 
@@ -45,6 +48,8 @@
          "\r\nX-Request-Id: " + Id + "\r\nContent-Length: 4\r\n\r\nwork";
 }
 
+using connections = std::span<const std::unique_ptr<http_connection>>;
+
 /// Response to a request and how long it took.
 struct timed_response {
   client_response Response;
@@ -150,6 +155,24 @@
     }
   }
 
+  /// Sends requests until \p End, on the next connection when one is closed.
+  /// \returns the number of served ones.
+  static int countServed(connections Callers, const std::string &Request,
+                         steady_clock::time_point End) {
+    int Served = 0;
+    while (!Callers.empty() && steady_clock::now() < End) {
+      const client_response Response =
+          timedCall(*Callers.front(), Request).Response;
+      Served += Response.Status == 200 ? 1 : 0;
+      const auto Field = Response.Fields.find("connection");
+      if (Response.Status == 0 ||
+          (Field != Response.Fields.end() && Field->second == "close"))
+        Callers = Callers.subspan(1);
+      std::this_thread::sleep_for(RequestPause);
+    }
+    return Served;
+  }
+
   std::vector<std::unique_ptr<http_connection>> Kept;
   std::size_t NextKept = 0;
   steady_clock::time_point StopSentAt;
@@ -240,3 +263,50 @@
   // The limit allows a few of them.
   CHECK(Refused >= Requests.size() / 2);
 }
+
+// Guards against a VM that stops and uses more than what the others leave to
+// it.
+TEST_CASE_FIXTURE(stop_limits_fixture,
+                  "node_stoppedWhileAboveLimit_admittedWithinLimit") {
+  constexpr int Account = 0;
+  constexpr double Rate = 40;
+  constexpr double Burst = 20;
+  constexpr std::size_t CallersPerNode = 2;
+  // A VM that stops closes its connections after a response.
+  constexpr std::size_t ConnectionsToStopped = 200;
+  constexpr std::chrono::seconds TimeBeforeStop{1};
+  // As the fleet's settings have it: a tenth and 20 requests.
+  constexpr std::chrono::seconds Window{5};
+  constexpr double Limit = Rate * Window.count() + Burst;
+  constexpr double Tolerated = Limit * 1.1 + 20;
+  startFleet(makeAccounts(Rate, Burst));
+  for (const auto &Each : Nodes)
+    awaitServed(*Each, Account);
+  openConnections(*Nodes[0], CallersPerNode * ConnectionsToStopped);
+  for (std::size_t Index = 1; Index < Nodes.size(); ++Index)
+    openConnections(*Nodes[Index], CallersPerNode);
+  const auto End = steady_clock::now() + Window;
+  std::vector<std::future<int>> Callers;
+  for (connections Left = Kept; !Left.empty();) {
+    const bool IsToStopped = Callers.size() < CallersPerNode;
+    const std::size_t Count = IsToStopped ? ConnectionsToStopped : 1;
+    Callers.push_back(std::async(std::launch::async, countServed,
+                                 Left.first(Count),
+                                 makeRequest(Account, "above"), End));
+    Left = Left.subspan(Count);
+  }
+  std::this_thread::sleep_for(TimeBeforeStop);
+  stop(*Nodes[0]);
+  int OfStopped = 0;
+  int Admitted = 0;
+  for (std::size_t Index = 0; Index < Callers.size(); ++Index) {
+    const int Served = Callers[Index].get();
+    Admitted += Served;
+    OfStopped += Index < CallersPerNode ? Served : 0;
+  }
+  MESSAGE("admitted " << Admitted << ", " << OfStopped
+                      << " of them at the VM that stops; the limit is "
+                      << Limit);
+  CHECK(Admitted <= Tolerated);
+  CHECK(Admitted >= Rate * Window.count() / 2);
+}
