--- a/src/coordination/routing/shutdown_rule.h
+++ b/src/coordination/routing/shutdown_rule.h
@@ -12,6 +12,8 @@
   /// When connections without a request are closed, and requests refused that
   /// wait to run.
   instant IdleClosesAt{};
+  /// When requests get a refusal whose response has not begun.
+  instant AnswersAt{};
   /// When the process ends, whatever is open.
   instant EndsAt{};
 };
@@ -27,9 +29,9 @@
   duration Typical{0}; ///< Typical latency of its route; zero: unknown.
 };
 
-/// Whether a request that arrives at \p Now gets its response before the
-/// process ends. A request that is accepted and cut off may have run; one that
-/// is refused can be sent to another VM at once.
+/// Whether a request that is passed on at \p Now gets its response before it
+/// would be refused because the process ends. A request that is accepted and
+/// cut off may have run; one that is refused can be sent to another VM at once.
 ///
 /// In the first half of the shutdown, while callers may still hold addresses of
 /// this VM, several times the typical latency is enough. Later only the timeout
--- a/src/coordination/routing/tests/shutdown_rule_test.cpp
+++ b/src/coordination/routing/tests/shutdown_rule_test.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// A shutdown of six seconds.
+/// A shutdown whose requests get their responses within six seconds.
 struct shutdown_rule_fixture {
   bool isAccepted(duration After, const request_duration &Request) const {
     return endsBeforeShutdown(Request, Shutdown, Shutdown.BeganAt + After);
@@ -15,7 +15,8 @@
 
   shutdown_schedule Shutdown{.BeganAt = instant(100s),
                              .IdleClosesAt = instant(105s),
-                             .EndsAt = instant(106s)};
+                             .AnswersAt = instant(106s),
+                             .EndsAt = instant(107s)};
 };
 
 } // namespace
@@ -26,7 +27,8 @@
   const instant SentAt(100s);
   const shutdown_schedule Shutdown = scheduleShutdown(SentAt + 200ms, 6s);
   CHECK(Shutdown.EndsAt < SentAt + 6s);
-  CHECK(Shutdown.IdleClosesAt < Shutdown.EndsAt);
+  CHECK(Shutdown.IdleClosesAt < Shutdown.AnswersAt);
+  CHECK(Shutdown.AnswersAt < Shutdown.EndsAt);
   CHECK(Shutdown.IdleClosesAt > SentAt + 5s);
 }
 
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -458,7 +458,9 @@
 }
 
 task<void> caller_session::discardSmallBody() {
-  if (!IsRequestEndKnown || !Parser->is_header_done() || Parser->is_done() ||
+  // The connection of a VM that stops is closed after the response.
+  if (Worker.isShuttingDown() || !IsRequestEndKnown ||
+      !Parser->is_header_done() || Parser->is_done() ||
       Parser->get().count(http::field::expect) > 0 ||
       !Parser->content_length_remaining() ||
       *Parser->content_length_remaining() > MaxDiscardedBodyBytes)
--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -45,6 +45,11 @@
         "target " + Target.Name.str() + " did not accept a connection";
     co_return Result;
   }
+  if (EndedForShutdown) {
+    Result.Progress = attempt_progress::NothingSent;
+    Result.Cause = refusal_kind::ShuttingDown;
+    co_return Result;
+  }
   Result.ReusedConnection = Connection->RequestCount++ > 0;
   Result.OpenedAt = Connection->OpenedAt;
   Result.Progress = attempt_progress::NothingSent;
@@ -53,6 +58,7 @@
       Dialect.CallerSetsAttemptId
           ? std::string(Request.get()[toBeast(Dialect.AttemptField)])
           : std::to_string(Worker.random());
+  AttemptStream = &Connection->Stream;
   Connection->Stream.expires_at(Deadline);
   // A VM that began to leave does not break off an attempt that a target may be
   // working on.
@@ -71,6 +77,9 @@
     Watch.disarm();
   }
   ResponseTimer.stop();
+  AttemptStream = nullptr;
+  if (Result.Error && EndedForShutdown)
+    Result.Cause = refusal_kind::ShuttingDown;
   if (Result.Error && ResponseTimer.hasFired())
     Result.Error = boost::beast::error::timeout;
   if (Result.Error)
--- a/src/transport/callers/internal/relay_watch.cpp
+++ b/src/transport/callers/internal/relay_watch.cpp
@@ -93,12 +93,16 @@
 void relay_watch::cancelAt(std::chrono::steady_clock::time_point Deadline) {
   WaitsForDeadline = true;
   Timer.expires_at(Deadline);
-  Timer.async_wait(guard([](relay_watch &Self) {
-    Self.DeadlinePassed = true;
-    Self.Caller.cancel();
-    if (Self.Target)
-      Self.Target->cancel();
-  }));
+  Timer.async_wait(guard([](relay_watch &Self) { Self.cancelNow(); }));
+}
+
+void relay_watch::cancelNow() {
+  if (!WaitsForDeadline)
+    return;
+  DeadlinePassed = true;
+  Caller.cancel();
+  if (Target)
+    Target->cancel();
 }
 
 void relay_watch::disarm() {
--- a/src/transport/callers/internal/relay_watch.h
+++ b/src/transport/callers/internal/relay_watch.h
@@ -31,6 +31,8 @@
   void cancelWhenTargetResponds(tcp_stream &Target);
   /// Cancels the operations on both connections at \p Deadline.
   void cancelAt(std::chrono::steady_clock::time_point Deadline);
+  /// Cancels the operations that cancelAt() would cancel, if it was called.
+  void cancelNow();
   /// Ends all watching and resets the state.
   void disarm();
 
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -61,6 +61,11 @@
           .Service = Admitted.Service->Name};
 }
 
+refusal shutdownRefusal() {
+  return {.Kind = refusal_kind::ShuttingDown,
+          .Detail = "this VM stopped before the request had ended"};
+}
+
 bool declaresOversizedBody(const caller_request_parser &Request,
                            const route &Route) {
   const auto Length = Request.content_length();
@@ -86,6 +91,8 @@
     Refused.KeepCallerConnection = true;
     co_return Refused;
   }
+  const running_requests::entry Running(Worker.runningRequests(),
+                                        [this] { endForShutdown(); });
   Progress.enter(request_step::Body);
   LastRefusal = co_await bufferBody(*Admitted.Route);
   if (LastRefusal)
@@ -99,7 +106,7 @@
   retry_budget &Retries =
       Worker.retries().getOrCreate(retryBudgetKeyOf(Admitted));
   Retries.recordRequest();
-  while (ConnectedAttempts < Admitted.Route->MaxAttempts &&
+  while (!EndedForShutdown && ConnectedAttempts < Admitted.Route->MaxAttempts &&
          FailedConnects < MaxFailedConnects) {
     // Targets may have been removed since the request was received.
     const snapshot_ptr Snapshot = Worker.snapshot();
@@ -144,6 +151,8 @@
           .Cause = unanswered_cause::ResponseUndelivered, .Error = Error};
     co_return Result;
   }
+  if (EndedForShutdown)
+    LastRefusal = shutdownRefusal();
   if (!LastRefusal)
     LastRefusal = refusal{.Kind = refusal_kind::NoHealthyTarget,
                           .Detail = noTargetDetail(Admitted)};
@@ -156,6 +165,15 @@
                          .HasAskedTarget = HasAskedTarget};
 }
 
+void request_relay::endForShutdown() {
+  if (Progress.step() == request_step::Response)
+    return;
+  EndedForShutdown = true;
+  Watch.cancelNow();
+  if (AttemptStream)
+    AttemptStream->cancel();
+}
+
 std::optional<unanswered_request>
 request_relay::describeUnanswered(const attempt_result &Result) {
   if (Result.IsComplete)
@@ -431,6 +449,8 @@
   Watch.disarm();
   if (BufferedBody.size() > Route.MaxBodyBytes)
     co_return bodyTooLarge(Route);
+  if (EndedForShutdown)
+    co_return shutdownRefusal();
   if (HasTimedOut)
     co_return refusal{
         .Kind = refusal_kind::DeadlineExceeded,
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -11,6 +11,7 @@
 #include "transport/callers/internal/caller_session.h"
 #include "transport/callers/internal/request_progress.h"
 #include "transport/callers/internal/response_timer.h"
+#include "transport/callers/internal/running_requests.h"
 
 namespace peridot {
 
@@ -98,6 +99,9 @@
   /// has not begun; empty if no other attempt may follow.
   std::optional<std::chrono::steady_clock::time_point>
   retryTime(const route &Route, const retry_budget &Retries) const;
+  /// Ends the current operation because the process is about to end. A response
+  /// that has begun goes on.
+  void endForShutdown();
   /// Records the result of an attempt for finishRequest(), and charges a retry
   /// to the budget where due.
   /// \returns whether to make another attempt.
@@ -205,6 +209,9 @@
   /// Why the rest of the body could not be read from the caller, if so.
   boost::system::error_code BodyError;
   bool CallerGotBytes = false;
+  bool EndedForShutdown = false; ///< Refused because the process ends.
+  /// Connection of the current attempt; null between attempts.
+  tcp_stream *AttemptStream = nullptr;
   bool SentKeepAlive = false; ///< The response head announced keep-alive.
   std::chrono::steady_clock::time_point Deadline{};
   /// When the current attempt is given up for another one, if it may be.
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -7,6 +7,7 @@
 
 #include "state/metrics/series_label.h"
 #include "transport/callers/internal/caller_session.h"
+#include "transport/callers/internal/running_requests.h"
 #include "transport/callers/internal/service_queue.h"
 #include "transport/logging/event_log.h"
 #include "transport/runtime/listener.h"
@@ -43,6 +44,7 @@
                        ? std::optional<load_balancer>(*Options.LoadBalancing)
                        : std::nullopt),
       Meters(Metrics), Queues(std::make_unique<service_queues>(Pauses)),
+      RunningRequests(std::make_unique<running_requests>()),
       ResponseBuffers(Options.ResponseBuffers),
       Loop(ThreadName, logHandlerFailure), Acceptor(Loop.context()),
       Timers(Loop.context()) {}
@@ -191,6 +193,10 @@
   asio::post(Loop.context(), [this] { Queues->stopWaiting(); });
 }
 
+void traffic_worker::refuseRunningRequests() {
+  asio::post(Loop.context(), [this] { RunningRequests->endAll(); });
+}
+
 task<void> traffic_worker::closeListener() {
   if (ignoreConnectRequests(Acceptor)) {
     asio::steady_timer Delay(Loop.context(), HandshakeTimeout);
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -31,6 +31,7 @@
 
 namespace peridot {
 
+class running_requests;
 class service_queues;
 
 /// Settings of one traffic thread.
@@ -115,6 +116,9 @@
   void closeIdleConnections();
   /// Refuses the requests that wait for a slot of their service. Thread-safe.
   void refuseWaitingRequests();
+  /// Refuses the requests whose response has not begun, also those at a target.
+  /// Thread-safe.
+  void refuseRunningRequests();
   /// Number of open caller connections. Thread-safe.
   std::size_t openConnections() const { return Connections.load(); }
 
@@ -165,6 +169,7 @@
   void recordConnectionEvent(const target_name &Target,
                              const connection_event &Event);
   service_queues &queues() { return *Queues; }
+  running_requests &runningRequests() { return *RunningRequests; }
   boost::asio::io_context &loop() { return Loop.context(); }
   std::uint64_t random() { return Random(); }
   bool isShuttingDown() const { return IsShuttingDown; }
@@ -224,9 +229,10 @@
   std::size_t RunningRejections = 0;
   bool IsShuttingDown = false;
   std::optional<shutdown_schedule> ShutdownSchedule;
-  /// Must outlive the loop, whose coroutines hold slots of these queues and
-  /// reservations of these buffers.
+  /// Must outlive the loop, whose coroutines hold slots of these queues, entries
+  /// of this list and reservations of these buffers.
   std::unique_ptr<service_queues> Queues;
+  std::unique_ptr<running_requests> RunningRequests;
   response_buffers ResponseBuffers;
   event_loop Loop;
   tcp_acceptor Acceptor;
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -83,6 +83,11 @@
   result<node_ports> listen();
   void startDrivers();
   task<void> drain(instant SignalledAt, std::function<void()> Done);
+  /// Waits until no caller has a connection, or until the process has to end.
+  /// Requests are ended when they are due.
+  task<void> awaitCallers(const shutdown_schedule &Schedule);
+  /// Ends what has reached its end in \p Schedule.
+  void endRequests(const shutdown_schedule &Schedule, instant Now);
   /// Whether callers have connections to this process, or may get some.
   bool hasCallers() const;
   std::size_t openConnections() const;
@@ -206,6 +211,26 @@
   return Total;
 }
 
+void node::impl::endRequests(const shutdown_schedule &Schedule, instant Now) {
+  for (const auto &Worker : Workers) {
+    if (Now >= Schedule.IdleClosesAt) {
+      Worker->refuseWaitingRequests();
+      Worker->closeIdleConnections();
+    }
+    if (Now >= Schedule.AnswersAt)
+      Worker->refuseRunningRequests();
+  }
+}
+
+task<void> node::impl::awaitCallers(const shutdown_schedule &Schedule) {
+  asio::steady_timer Timer(Control.context());
+  while (hasCallers() && Timers.now() < Schedule.EndsAt) {
+    endRequests(Schedule, Timers.now());
+    Timer.expires_after(DrainPollPeriod);
+    co_await Timer.async_wait(UseTaskTuple);
+  }
+}
+
 task<void> node::impl::drain(instant SignalledAt, std::function<void()> Done) {
   Decisions.record({.Kind = decision_kind::ShutdownStarted,
                     .Subject = subject_kind::Vm,
@@ -224,15 +249,7 @@
   co_await Timer.async_wait(UseTaskTuple);
   for (const auto &Worker : Workers)
     Worker->beginShutdown();
-  while (hasCallers() && Timers.now() < Schedule.EndsAt) {
-    if (Timers.now() >= Schedule.IdleClosesAt)
-      for (const auto &Worker : Workers) {
-        Worker->refuseWaitingRequests();
-        Worker->closeIdleConnections();
-      }
-    Timer.expires_after(DrainPollPeriod);
-    co_await Timer.async_wait(UseTaskTuple);
-  }
+  co_await awaitCallers(Schedule);
   logEvent(log_level::Info, "shutdown-finished",
            {{"connections_cut", static_cast<std::int64_t>(openConnections())},
             {"cause", std::string_view(hasCallers() ? "limit-reached"
--- /dev/null
+++ b/tests/integration/session_end_test.cpp
@@ -0,0 +1,257 @@
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "support/caller_fixture.h"
+#include "support/scripted_target.h"
+
+using namespace peridot::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using std::chrono::steady_clock;
+
+/// Maximum time from the signal to the exit.
+constexpr std::chrono::milliseconds ShutdownLimit{4'000};
+/// A target has this many slots by default.
+constexpr std::size_t TargetSlots = 3;
+/// Requests that wait for a slot.
+constexpr std::size_t QueuedRequests = 3;
+/// Longer than a target may work before the process ends.
+constexpr const char *WorkBeyondLimit = "delay_ms=8000";
+
+std::string get(const std::string &Path) {
+  return "GET " + Path + " HTTP/1.1\r\nHost: fleet\r\n\r\n";
+}
+
+std::string post(const std::string &Path) {
+  return "POST " + Path +
+         " HTTP/1.1\r\nHost: fleet\r\nContent-Length: 4\r\n\r\nwork";
+}
+
+std::string longPost(const std::string &Path, std::size_t BodyBytes) {
+  return "POST " + Path + " HTTP/1.1\r\nHost: fleet\r\nContent-Length: " +
+         std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'a');
+}
+
+/// Whether the response leaves open if the request ran.
+bool isUnknownOutcome(const client_response &Response) {
+  return Response.Status == 502 || Response.Status == 504;
+}
+
+/// Callers with one request each.
+class caller_group {
+public:
+  void send(std::uint16_t Port, std::size_t Count, const std::string &Bytes) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      Callers.push_back(std::make_unique<http_connection>(Port));
+      REQUIRE(Callers.back()->send(Bytes));
+    }
+  }
+  /// Each caller closes its connection after its response.
+  void checkAllAnswered() {
+    for (const client_response &Response : receiveAll()) {
+      INFO(Response.Error);
+      CHECK(Response.Status != 0);
+    }
+  }
+  void checkAllServed() {
+    for (const client_response &Response : receiveAll()) {
+      INFO(Response.Error);
+      CHECK(Response.Status == 200);
+    }
+  }
+
+private:
+  std::vector<client_response> receiveAll() {
+    std::vector<client_response> Responses;
+    for (auto &Caller : Callers) {
+      Responses.push_back(Caller->receive());
+      Caller.reset();
+    }
+    Callers.clear();
+    return Responses;
+  }
+
+  std::vector<std::unique_ptr<http_connection>> Callers;
+};
+
+std::size_t countLines(const process &Node, const std::string &Text) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Node.lines(), [&](const std::string &Line) {
+        return Line.find(Text) != std::string::npos;
+      }));
+}
+
+struct session_end_fixture : caller_fixture {
+  explicit session_end_fixture(
+      const std::vector<std::string> &NodeFlags =
+          {"--address_ttl=300ms",
+           "--shutdown_limit=" + std::to_string(ShutdownLimit.count()) + "ms"})
+      : caller_fixture(NodeFlags) {}
+
+  process &node() const { return *Nodes[0]->Process; }
+  std::size_t executionCount() const {
+    return static_cast<std::size_t>(
+        std::ranges::count(target().executions(), '{'));
+  }
+  void awaitExecutions(std::size_t Count) const {
+    awaitCondition("the target to execute the requests",
+                   [&] { return executionCount() == Count; });
+  }
+  void beginStop() {
+    StopSentAt = steady_clock::now();
+    node().signal(SIGTERM);
+    node().awaitLine("shutdown-started");
+  }
+  steady_clock::duration sinceStop() const {
+    return steady_clock::now() - StopSentAt;
+  }
+  /// Waits until the process has ended and all its lines were read.
+  void awaitEnd() const {
+    CHECK(node().awaitExit() == 0);
+    awaitCondition("the end of the output", [&] { return node().hasEnded(); });
+  }
+  /// Checks that the process ended by itself and cut off no request.
+  void checkEndedInOrder() {
+    awaitEnd();
+    CHECK(sinceStop() < ShutdownLimit);
+    CHECK(countLines(node(), "request-unanswered") == 0);
+  }
+  /// Occupies all slots, so that further requests have to wait.
+  void occupySlots(const std::string &Behaviour) {
+    target().setBehaviour(Behaviour);
+    Running.send(port(), TargetSlots, post("/once"));
+    awaitExecutions(TargetSlots);
+  }
+
+  caller_group Running;
+  caller_group Queued;
+  steady_clock::time_point StopSentAt;
+};
+
+} // namespace
+
+// Guards against a caller whose request is at a target when the process ends,
+// and whose connection is closed without a response.
+TEST_CASE_FIXTURE(session_end_fixture,
+                  "node_requestAtTargetAtLimit_unknownOutcomeBeforeEnd") {
+  target().setBehaviour(WorkBeyondLimit);
+  http_connection Caller(port());
+  Caller.send(post("/once"));
+  awaitExecutions(1);
+  beginStop();
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK(isUnknownOutcome(Response));
+  CHECK(countLines(node(), "request-refused") == 1);
+  checkEndedInOrder();
+}
+
+// Guards against the same for a request that may be repeated.
+TEST_CASE_FIXTURE(session_end_fixture,
+                  "node_repeatableAtTargetAtLimit_unknownOutcomeBeforeEnd") {
+  target().setBehaviour(WorkBeyondLimit);
+  http_connection Caller(port());
+  Caller.send(get("/hive"));
+  awaitExecutions(1);
+  beginStop();
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK(isUnknownOutcome(Response));
+  CHECK(countLines(node(), "request-refused") == 1);
+  checkEndedInOrder();
+}
+
+// Guards against a caller that is still sending its body when the process ends,
+// and whose connection is closed without a response.
+TEST_CASE_FIXTURE(session_end_fixture,
+                  "node_uploadStalledAtLimit_refusedBeforeEnd") {
+  http_connection Caller(port());
+  Caller.send("POST /once HTTP/1.1\r\nHost: fleet\r\nContent-Length: 9\r\n\r\n"
+              "half");
+  // The next request of the same thread is served after the head was read.
+  REQUIRE(httpCall(port(), {.Path = "/hive"}).Status == 200);
+  beginStop();
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK((Response.Status == 503 || Response.Status == 408));
+  checkEndedInOrder();
+}
+
+// Guards against the same while the body is passed on to a target.
+TEST_CASE_FIXTURE(session_end_fixture,
+                  "node_longUploadStalledAtLimit_unknownOutcomeBeforeEnd") {
+  // More than is buffered before a target is chosen.
+  constexpr std::size_t SentBytes = 100'000;
+  http_connection Caller(port());
+  Caller.send("POST /once HTTP/1.1\r\nHost: fleet\r\n"
+              "Content-Length: 1000000\r\n\r\n" +
+              std::string(SentBytes, 'a'));
+  REQUIRE(httpCall(port(), {.Path = "/hive"}).Status == 200);
+  beginStop();
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK(isUnknownOutcome(Response));
+  checkEndedInOrder();
+}
+
+namespace {
+
+/// Adds the route /raw, whose only target is scripted.
+struct scripted_stop_fixture : session_end_fixture {
+  void addScriptedTarget(scripted_target::script Script) {
+    Scripted = std::make_unique<scripted_target>(std::move(Script));
+    std::ofstream(folder() + "/services/raw.toml")
+        << "service = \"raw\"\n[[route]]\npath = \"/raw\"\nopen = true\n"
+           "[[target]]\nname = \"raw-1\"\ndata_center = \"lakes-a\"\n"
+           "address = \"127.0.0.1\"\nport = "
+        << Scripted->port() << "\n";
+    publish("scripted target");
+    awaitRevision(2);
+    awaitCondition("the route /raw in the traffic thread", [&] {
+      return httpCall(port(), {.Method = "OPTIONS", .Path = "/raw"}).Status !=
+             404;
+    });
+  }
+
+  std::unique_ptr<scripted_target> Scripted;
+};
+
+} // namespace
+
+// Guards against a response that is lost because the connection is reset with
+// the rest of the body, which the target did not take.
+TEST_CASE_FIXTURE(scripted_stop_fixture,
+                  "node_uploadToSilentTargetAtLimit_unknownOutcomeNotReset") {
+  constexpr std::size_t BodyBytes = 4'000'000;
+  std::promise<void> IsHeadReceived, IsDone;
+  const std::shared_future<void> Done = IsDone.get_future().share();
+  addScriptedTarget([&, Done](scripted_connection &Connection) {
+    if (!Connection.readUntil("\r\n\r\n") ||
+        !Connection.received().starts_with("POST"))
+      return;
+    IsHeadReceived.set_value();
+    Done.wait();
+  });
+  http_connection Caller(port());
+  std::future<bool> Upload = std::async(std::launch::async, [&] {
+    return Caller.send(longPost("/raw", BodyBytes));
+  });
+  REQUIRE(IsHeadReceived.get_future().wait_for(10s) ==
+          std::future_status::ready);
+  beginStop();
+  CHECK(Upload.get());
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK(isUnknownOutcome(Response));
+  checkEndedInOrder();
+  IsDone.set_value();
+}
