--- a/src/coordination/routing/internal/shutdown_rule.cpp
+++ b/src/coordination/routing/internal/shutdown_rule.cpp
@@ -1,5 +1,7 @@
 #include "coordination/routing/shutdown_rule.h"
 
+#include <algorithm>
+
 namespace peridot {
 
 namespace {
@@ -22,6 +24,11 @@
           .EndsAt = EndsAt};
 }
 
+instant endAfterRefusals(const shutdown_schedule &Shutdown, instant RefusedAt) {
+  return std::max(Shutdown.EndsAt,
+                  RefusedAt + (Shutdown.EndsAt - Shutdown.AnswersAt));
+}
+
 bool endsBeforeShutdown(const request_duration &Request,
                         const shutdown_schedule &Shutdown, instant Now) {
   const duration TimeLeft = Shutdown.AnswersAt - Now;
--- a/src/coordination/routing/shutdown_rule.h
+++ b/src/coordination/routing/shutdown_rule.h
@@ -23,6 +23,10 @@
 /// handled late, and the process takes time to end.
 shutdown_schedule scheduleShutdown(instant Now, duration Limit);
 
+/// Returns when a process ends that refused its last requests at \p RefusedAt.
+/// One that stood still until then still takes the time for the refusals.
+instant endAfterRefusals(const shutdown_schedule &Shutdown, instant RefusedAt);
+
 /// How long a request may take.
 struct request_duration {
   duration Timeout{0}; ///< It gets its final response within this time.
--- a/src/coordination/routing/tests/shutdown_rule_test.cpp
+++ b/src/coordination/routing/tests/shutdown_rule_test.cpp
@@ -59,3 +59,11 @@
   CHECK(mayWait(Shutdown, Shutdown.IdleClosesAt - 1ms));
   CHECK(!mayWait(Shutdown, Shutdown.IdleClosesAt));
 }
+
+// Guards against a process that gets no processor until its end and then cuts
+// off the requests that it still holds.
+TEST_CASE_FIXTURE(shutdown_rule_fixture,
+                  "endAfterRefusals_stoodStillPastEnd_timeLeftToDeliver") {
+  CHECK(endAfterRefusals(Shutdown, Shutdown.AnswersAt) == Shutdown.EndsAt);
+  CHECK(endAfterRefusals(Shutdown, Shutdown.EndsAt) == Shutdown.EndsAt + 1s);
+}
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -1,6 +1,7 @@
 #include "transport/node/node.h"
 
 #include <algorithm>
+#include <optional>
 #include <variant>
 
 #include <boost/asio/co_spawn.hpp>
@@ -224,9 +225,16 @@
 
 task<void> node::impl::awaitCallers(const shutdown_schedule &Schedule) {
   asio::steady_timer Timer(Control.context());
-  while (hasCallers() && Timers.now() < Schedule.EndsAt) {
-    endRequests(Schedule, Timers.now());
-    Timer.expires_after(DrainPollPeriod);
+  std::optional<instant> End;
+  while (hasCallers()) {
+    const instant Now = Timers.now();
+    endRequests(Schedule, Now);
+    if (!End && Now >= Schedule.AnswersAt)
+      End = endAfterRefusals(Schedule, Now);
+    if (End && Now >= *End)
+      co_return;
+    const instant Due = End.value_or(Schedule.AnswersAt);
+    Timer.expires_after(std::min<duration>(DrainPollPeriod, Due - Now));
     co_await Timer.async_wait(UseTaskTuple);
   }
 }
--- a/tests/integration/session_end_test.cpp
+++ b/tests/integration/session_end_test.cpp
@@ -255,3 +255,86 @@
   checkEndedInOrder();
   IsDone.set_value();
 }
+
+namespace {
+
+/// The time in which waits are ended is shorter than the interval of the checks
+/// for it.
+struct short_limit_fixture : session_end_fixture {
+  short_limit_fixture()
+      : session_end_fixture({"--address_ttl=300ms", "--shutdown_limit=400ms"}) {
+  }
+};
+
+} // namespace
+
+// Guards against requests that wait for a slot until the process ends, because
+// the drain passes over the time in which such waits are ended.
+TEST_CASE_FIXTURE(short_limit_fixture,
+                  "node_requestQueuedAtShortLimit_refusedAsNotRun") {
+  occupySlots(WorkBeyondLimit);
+  http_connection Waiting(port());
+  Waiting.send(post("/once"));
+  REQUIRE(httpCall(port(), {.Path = "/nowhere"}).Status == 404);
+  beginStop();
+  const client_response Response = Waiting.receive();
+  INFO(Response.Error);
+  CHECK(Response.Status == 503);
+  awaitEnd();
+}
+
+namespace {
+
+/// Requests wait while the process stands still from before the time in which
+/// waits are ended until after its own end.
+struct stood_still_fixture : session_end_fixture {
+  void standStillAcrossLimit() {
+    std::this_thread::sleep_until(StopSentAt + ShutdownLimit * 7 / 8);
+    node().signal(SIGSTOP);
+  }
+  void goOnBeforeKill() {
+    std::this_thread::sleep_until(StopSentAt + ShutdownLimit * 31 / 32);
+    node().signal(SIGCONT);
+  }
+};
+
+} // namespace
+
+// Guards against the same in a process that gets no processor for a while.
+TEST_CASE_FIXTURE(stood_still_fixture,
+                  "node_requestQueuedStoodStillAcrossLimit_refusedAsNotRun") {
+  occupySlots(WorkBeyondLimit);
+  http_connection Waiting(port());
+  Waiting.send(post("/once"));
+  REQUIRE(httpCall(port(), {.Path = "/nowhere"}).Status == 404);
+  beginStop();
+  standStillAcrossLimit();
+  goOnBeforeKill();
+  const client_response Response = Waiting.receive();
+  INFO(Response.Error);
+  CHECK(Response.Status == 503);
+  awaitEnd();
+}
+
+// Guards against requests that arrive in that time on kept connections, are
+// read when the process goes on, and are cut off at once.
+TEST_CASE_FIXTURE(stood_still_fixture,
+                  "node_requestsWhileStoodStillAcrossLimit_noneReadThenCut") {
+  constexpr std::size_t KeptConnections = 32;
+  std::vector<std::unique_ptr<http_connection>> Kept;
+  for (std::size_t Index = 0; Index < KeptConnections; ++Index) {
+    Kept.push_back(std::make_unique<http_connection>(port()));
+    REQUIRE(Kept.back()->call({.Path = "/nowhere"}).Status == 404);
+  }
+  beginStop();
+  standStillAcrossLimit();
+  for (const auto &Caller : Kept)
+    Caller->send(post("/once"));
+  goOnBeforeKill();
+  std::size_t Answered = 0;
+  for (const auto &Caller : Kept)
+    Answered += Caller->receive().Status != 0 ? 1 : 0;
+  awaitEnd();
+  INFO(Answered << " answered");
+  CHECK(countLines(node(), "request-unanswered") == 0);
+}
