--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -29,6 +29,13 @@
 /// Maximum time for a caller to receive a buffered response.
 constexpr std::chrono::seconds DeliveryTimeout{5};
 
+/// Whether another response follows to the same request. Beast does not know
+/// all interim statuses by name.
+bool isInterim(unsigned Status) {
+  return http::to_status_class(Status) == http::status_class::informational &&
+         http::int_to_status(Status) != http::status::switching_protocols;
+}
+
 } // namespace
 
 task<boost::system::error_code> request_relay::readResponseHead(
@@ -48,8 +55,7 @@
         Connection.Stream, Buffer, *Response, UseTaskTuple);
     if (Error)
       co_return Error;
-    if (Response->get().result() == http::status::continue_ ||
-        Response->get().result() == http::status::processing) {
+    if (isInterim(Response->get().result_int())) {
       ++InterimResponses;
       continue;
     }
--- a/tests/integration/session_end_test.cpp
+++ b/tests/integration/session_end_test.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 
 #include "support/caller_fixture.h"
+#include "support/faulty_target_fixture.h"
 #include "support/scripted_target.h"
 
 using namespace peridot::test;
@@ -338,3 +339,21 @@
   INFO(Answered << " answered");
   CHECK(countLines(node(), "request-unanswered") == 0);
 }
+
+// Guards against an interim response that is taken for the response: the caller
+// would wait for the final one until its connection is closed.
+TEST_CASE_FIXTURE(faulty_target_fixture,
+                  "node_earlyHintsFromTarget_finalResponseForwarded") {
+  addScriptedTarget([](scripted_connection &Connection) {
+    const std::string Id = attemptIdOf(Connection);
+    Connection.send("HTTP/1.1 103 Early Hints\r\nPeridot-Attempt-Id: " + Id +
+                    "\r\nLink: </style.css>\r\n\r\n" +
+                    response("200 OK", Id, "queen"));
+    Connection.readToEnd();
+  });
+  const std::string Response =
+      sendRaw("GET /raw HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n");
+  INFO(Response);
+  CHECK(Response.find("HTTP/1.1 200 OK") != Response.npos);
+  CHECK(Response.ends_with("queen"));
+}
