--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -52,6 +52,8 @@
 traffic_worker::~traffic_worker() {
   Loop.stop();
   Queues->close();
+  // The connections of the pool use the loop, which is destroyed before it.
+  Targets.retain({});
 }
 
 result<std::uint16_t> traffic_worker::listen(std::uint16_t SharedPort) {
--- a/tests/integration/session_end_test.cpp
+++ b/tests/integration/session_end_test.cpp
@@ -357,3 +357,35 @@
   CHECK(Response.find("HTTP/1.1 200 OK") != Response.npos);
   CHECK(Response.ends_with("queen"));
 }
+
+namespace {
+
+/// A node with any number of traffic threads, each with its own listener.
+struct several_threads_fixture : session_end_fixture {
+  static constexpr std::size_t QueuedConnections = 64;
+  static constexpr auto AddressLifetime = 300ms;
+
+  void startNode(int Threads) {
+    Nodes.clear();
+    addNode("vm-1", "lakes-a",
+            {"--address_ttl=300ms", "--shutdown_limit=4s",
+             "--traffic_threads=" + std::to_string(Threads)});
+    awaitReady(*Nodes.front());
+  }
+};
+
+} // namespace
+
+// Guards against a process that ends by a signal of the system, because idle
+// connections to targets are destroyed after the event loop that they use.
+TEST_CASE_FIXTURE(several_threads_fixture,
+                  "node_idleTargetConnectionsAtEnd_endsInOrder") {
+  // Not every use after the loop is destroyed ends the process.
+  for (const int Threads : {1, 2, 4, 1, 2, 4}) {
+    startNode(Threads);
+    Running.send(port(), QueuedConnections, post("/once"));
+    Running.checkAllAnswered();
+    beginStop();
+    checkEndedInOrder();
+  }
+}
