--- a/tests/integration/session_end_test.cpp
+++ b/tests/integration/session_end_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <memory>
@@ -11,6 +12,7 @@
 #include "support/caller_fixture.h"
 #include "support/faulty_target_fixture.h"
 #include "support/scripted_target.h"
+#include "support/store_fleet.h"
 
 using namespace peridot::test;
 using namespace std::chrono_literals;
@@ -389,3 +391,190 @@
     checkEndedInOrder();
   }
 }
+
+// Guards against a process that ends because one of its traffic threads has no
+// connection, while another has not accepted its backlog yet.
+TEST_CASE_FIXTURE(
+    several_threads_fixture,
+    "node_backlogsOfThreadsWhenListenersClose_allRequestsAnswered") {
+  for (const int Threads : {2, 4, 2, 4}) {
+    startNode(Threads);
+    beginStop();
+    node().signal(SIGSTOP);
+    Queued.send(port(), QueuedConnections, post("/once"));
+    std::this_thread::sleep_until(StopSentAt + 2 * AddressLifetime);
+    node().signal(SIGCONT);
+    Queued.checkAllAnswered();
+    checkEndedInOrder();
+  }
+}
+
+// Guards against a process that ends while one of its threads has no connection
+// and another serves requests.
+TEST_CASE_FIXTURE(several_threads_fixture,
+                  "node_severalThreadsStoppedDuringRequests_allAnswered") {
+  constexpr std::size_t RunningRequests = 3;
+  for (const int Threads : {2, 4}) {
+    startNode(Threads);
+    target().setBehaviour("delay_ms=1500");
+    Running.send(port(), RunningRequests, post("/once"));
+    awaitCondition("the target to execute the requests", [&] {
+      return executionCount() % RunningRequests == 0 && executionCount() > 0;
+    });
+    beginStop();
+    Running.checkAllAnswered();
+    checkEndedInOrder();
+  }
+}
+
+// Guards against the same while threads that wait for the first configuration
+// have accepted no connection yet.
+TEST_CASE("node_severalThreadsStoppedWhileStarting_allRequestsAnswered") {
+  constexpr std::size_t QueuedConnections = 64;
+  store_fleet Fleet;
+  store_node &Node = Fleet.addNode("vm-1", "lakes-a");
+  Fleet.setPlatformFaults("down=1");
+  Node.TrafficThreads = 4;
+  Fleet.restart(Node);
+  caller_group Queue;
+  Queue.send(Node.Node.CallerPort, QueuedConnections, post("/dispatch/1"));
+  Node.Node.Process->signal(SIGTERM);
+  Queue.checkAllAnswered();
+  CHECK(Node.Node.Process->awaitExit() == 0);
+}
+
+// Guards against a long body of a refused request that resets the connection
+// before the caller has read the refusal.
+TEST_CASE_FIXTURE(session_end_fixture,
+                  "node_longBodyQueuedAtLimit_refusalNotReset") {
+  constexpr std::size_t BodyBytes = 6'000'000;
+  occupySlots(WorkBeyondLimit);
+  http_connection Waiting(port());
+  const std::string Request = longPost("/once", BodyBytes);
+  constexpr std::size_t FirstBytes = 1'000;
+  Waiting.send(Request.substr(0, FirstBytes));
+  REQUIRE(httpCall(port(), {.Path = "/nowhere"}).Status == 404);
+  std::future<bool> Upload = std::async(std::launch::async, [&] {
+    return Waiting.send(Request.substr(FirstBytes));
+  });
+  beginStop();
+  CHECK(Upload.get());
+  const client_response Response = Waiting.receive();
+  INFO(Response.Error);
+  CHECK(Response.Status == 503);
+  awaitEnd();
+}
+
+namespace {
+
+/// One node with a settings file.
+struct reload_fixture : session_end_fixture {
+  reload_fixture() {
+    write("--shutdown_limit=4s\n--address_ttl=300ms\n");
+    Nodes.clear();
+    addNode("vm-1", "lakes-a", {"--flagfile=" + path()});
+    awaitReady(*Nodes.front());
+  }
+
+  std::string path() const { return folder() + "/settings.flags"; }
+  void write(const std::string &Content) const {
+    std::ofstream(path()) << Content;
+  }
+  void reload(const std::string &Content) {
+    write(Content);
+    node().signal(SIGHUP);
+    node().awaitLine("settings-reloaded");
+  }
+};
+
+} // namespace
+
+// Guards against requests that lose their slot, their place in a queue or their
+// retry budget when the settings change.
+TEST_CASE_FIXTURE(reload_fixture,
+                  "node_settingsReloadedWhileRequestsWait_allServed") {
+  occupySlots("delay_ms=1000");
+  Queued.send(port(), QueuedRequests, post("/once"));
+  reload("--shutdown_limit=2s\n--address_ttl=200ms\n--retry_ratio=0.5\n");
+  Running.checkAllServed();
+  Queued.checkAllServed();
+}
+
+// Guards against a limit that changes while the process stops.
+TEST_CASE_FIXTURE(reload_fixture,
+                  "node_settingsReloadedWhileStopping_allAnswered") {
+  occupySlots("delay_ms=1000");
+  Queued.send(port(), QueuedRequests, post("/once"));
+  beginStop();
+  write("--shutdown_limit=0ms\n");
+  node().signal(SIGHUP);
+  Running.checkAllServed();
+  Queued.checkAllAnswered();
+  checkEndedInOrder();
+}
+
+// Guards against requests that wait or run under a configuration whose route,
+// service and account are gone.
+TEST_CASE_FIXTURE(session_end_fixture,
+                  "node_serviceRemovedWhileRequestsWait_allAnswered") {
+  occupySlots("delay_ms=1000");
+  Queued.send(port(), QueuedRequests,
+              "POST /keyed HTTP/1.1\r\nHost: fleet\r\nPeridot-Key: secret\r\n"
+              "Content-Length: 4\r\n\r\nwork");
+  std::filesystem::remove(folder() + "/services/hive.toml");
+  writeServiceFile("other", "[[route]]\npath = \"/other\"\nopen = true\n");
+  const finished_program Published = publish("without hive");
+  INFO(Published.Output);
+  REQUIRE(Published.ExitCode == 0);
+  awaitRevision(2);
+  Running.checkAllAnswered();
+  Queued.checkAllAnswered();
+}
+
+namespace {
+
+/// One node of a store fleet whose only target is busy.
+struct busy_store_fixture : store_fleet {
+  static constexpr std::size_t StoreTargetSlots = 8;
+
+  busy_store_fixture() {
+    writeConfiguration(1, {keepers()}, "/extra/");
+    addTarget("hive-1", "lakes-a").Target.setBehaviour("delay_ms=1000");
+    awaitReady(addNode("vm-1", "lakes-a"));
+  }
+  static store_account keepers() {
+    return {.Name = "keepers",
+            .Keys = {"keeper-key"},
+            .RequestsPerSecond = 1'000,
+            .Burst = 1'000};
+  }
+  static std::string keyed(const std::string &Path) {
+    return "POST " + Path +
+           " HTTP/1.1\r\nHost: fleet\r\nAuthorization: Bearer keeper-key\r\n"
+           "X-Request-Id: r-1\r\nContent-Length: 4\r\n\r\nwork";
+  }
+  running_node &node() const { return Nodes.front()->Node; }
+
+  caller_group Running;
+  caller_group Queued;
+};
+
+} // namespace
+
+// Guards against the same at a VM that reads its configuration from a store,
+// and against requests at a target whose entry is removed.
+TEST_CASE_FIXTURE(
+    busy_store_fixture,
+    "node_routeAccountAndTargetRemovedWhileRequestsWait_allAnswered") {
+  Running.send(node().CallerPort, StoreTargetSlots, keyed("/dispatch/1"));
+  awaitCondition("the requests to occupy all slots", [&] {
+    return std::ranges::count(Targets.front()->Target.executions(), '{') ==
+           StoreTargetSlots;
+  });
+  Queued.send(node().CallerPort, QueuedRequests, keyed("/extra/1"));
+  removeTarget(*Targets.front());
+  writeConfiguration(2, {});
+  Running.checkAllServed();
+  Queued.checkAllAnswered();
+  CHECK(countLines(*node().Process, "request-unanswered") == 0);
+}
