--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -389,7 +389,8 @@
   awaitStatus(0, "/logs/1", 503);
   for (const auto &Each : Targets) {
     Each->Target.setBehaviour("");
-    registerTarget(*Each, "ready", 2);
+    Each->Process = 2;
+    registerTarget(*Each);
   }
   awaitStatus(0, "/logs/1", 200);
 }
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 fault_schedule::fault_schedule(store_fleet &Fleet, unsigned Seed)
-    : Fleet(Fleet), Random(Seed), IsNodeDown(Fleet.Nodes.size()),
-      Start(steady::now()) {}
+    : Fleet(Fleet), Random(Seed),
+      Announcer(Fleet, Seed, [this](const std::string &Event) { log(Event); }),
+      IsNodeDown(Fleet.Nodes.size()), Start(steady::now()) {}
 
 std::vector<store_account> fault_schedule::accounts() const {
   const bool IsKeyRevoked = KeyRevokedAt != time_point::max();
@@ -42,6 +43,31 @@
   PendingEnds.emplace(steady::now() + After, std::move(End));
 }
 
+std::size_t fault_schedule::beginInterruption(interruption_kind Kind,
+                                              const store_node &Node) {
+  Interruptions.push_back({.Kind = Kind,
+                           .CallerPort = Node.Node.CallerPort,
+                           .From = steady::now(),
+                           .Until = time_point::max()});
+  return Interruptions.size() - 1;
+}
+
+void fault_schedule::endInterruption(std::size_t Number) {
+  Interruptions[Number].Until = steady::now();
+}
+
+std::vector<std::size_t> fault_schedule::beginCutOfAll() {
+  std::vector<std::size_t> Cuts;
+  for (const auto &Node : Fleet.Nodes)
+    Cuts.push_back(beginInterruption(interruption_kind::Cut, *Node));
+  return Cuts;
+}
+
+void fault_schedule::endInterruptions(std::span<const std::size_t> Numbers) {
+  for (const std::size_t Each : Numbers)
+    endInterruption(Each);
+}
+
 void fault_schedule::run(std::chrono::seconds Time) {
   const time_point Deadline = steady::now() + Time;
   time_point Next = steady::now();
@@ -50,12 +76,14 @@
       injectRandomFault();
       Next = steady::now() + randomDelay(100, 700);
     }
+    Announcer.advance(steady::now());
     while (!PendingEnds.empty() && PendingEnds.begin()->first <= steady::now())
       PendingEnds.extract(PendingEnds.begin()).mapped()();
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   while (!PendingEnds.empty())
     PendingEnds.extract(PendingEnds.begin()).mapped()();
+  Announcer.endAll();
 }
 
 void fault_schedule::injectRandomFault() {
@@ -79,9 +107,12 @@
   IsNodeDown[Chosen] = true;
   store_node &Node = *Fleet.Nodes[Chosen];
   log("kills " + Node.Node.Name);
+  const std::size_t Interruption =
+      beginInterruption(interruption_kind::Restart, Node);
   Node.Node.Process->signal(SIGKILL);
-  scheduleEnd(randomDelay(50, 1'500), [this, Chosen, &Node] {
+  scheduleEnd(randomDelay(50, 1'500), [this, Chosen, Interruption, &Node] {
     Fleet.restart(Node);
+    endInterruption(Interruption);
     IsNodeDown[Chosen] = false;
   });
 }
@@ -93,10 +124,13 @@
   IsNodeDown[Chosen] = true;
   store_node &Node = *Fleet.Nodes[Chosen];
   log("stops " + Node.Node.Name);
+  const std::size_t Interruption =
+      beginInterruption(interruption_kind::Restart, Node);
   Node.Node.Process->signal(SIGTERM);
-  scheduleEnd(randomDelay(100, 4'000), [this, Chosen, &Node] {
+  scheduleEnd(randomDelay(100, 4'000), [this, Chosen, Interruption, &Node] {
     Node.Node.Process->awaitExit();
     Fleet.restart(Node);
+    endInterruption(Interruption);
     IsNodeDown[Chosen] = false;
   });
 }
@@ -108,9 +142,12 @@
   IsNodeDown[Chosen] = true;
   store_node &Node = *Fleet.Nodes[Chosen];
   log("pauses " + Node.Node.Name);
+  const std::size_t Interruption =
+      beginInterruption(interruption_kind::Freeze, Node);
   Node.Node.Process->signal(SIGSTOP);
-  scheduleEnd(randomDelay(200, 6'000), [this, Chosen, &Node] {
+  scheduleEnd(randomDelay(200, 6'000), [this, Chosen, Interruption, &Node] {
     Node.Node.Process->signal(SIGCONT);
+    endInterruption(Interruption);
     IsNodeDown[Chosen] = false;
   });
 }
@@ -121,12 +158,18 @@
   if (Kind == LinkFaults.size()) {
     log("discards the state of connections from " + Node.Node.Name +
         " to the platform");
+    const std::size_t Cut = beginInterruption(interruption_kind::Cut, Node);
     Node.Proxy->forgetConnections();
+    endInterruption(Cut);
     return;
   }
   log("link from " + Node.Node.Name + " to the platform: " + LinkFaults[Kind]);
+  const std::size_t Cut = beginInterruption(interruption_kind::Cut, Node);
   Node.Proxy->setFaults(LinkFaults[Kind]);
-  scheduleEnd(randomDelay(200, 3'000), [&Node] { Node.Proxy->setFaults(""); });
+  scheduleEnd(randomDelay(200, 3'000), [this, Cut, &Node] {
+    Node.Proxy->setFaults("");
+    endInterruption(Cut);
+  });
 }
 
 void fault_schedule::injectTargetFault() {
@@ -134,10 +177,7 @@
   const std::size_t Kind =
       randomBelow(LinkFaults.size() + TargetFaults.size() + 1);
   if (Kind < LinkFaults.size()) {
-    log("link to " + Target.Target.Name + ": " + LinkFaults[Kind]);
-    Target.Proxy->setFaults(LinkFaults[Kind]);
-    scheduleEnd(randomDelay(200, 2'000),
-                [&Target] { Target.Proxy->setFaults(""); });
+    breakTargetLink(Target, LinkFaults[Kind]);
   } else if (Kind < LinkFaults.size() + TargetFaults.size()) {
     const std::string Fault = TargetFaults[Kind - LinkFaults.size()];
     log(Target.Target.Name + ": " + Fault);
@@ -145,11 +185,28 @@
     scheduleEnd(randomDelay(200, 2'000),
                 [&Target] { Target.Target.setBehaviour(""); });
   } else {
-    log("discards the state of connections to " + Target.Target.Name);
-    Target.Proxy->forgetConnections();
+    forgetTargetConnections(Target);
   }
 }
 
+void fault_schedule::breakTargetLink(store_target &Target,
+                                     const std::string &Fault) {
+  log("link to " + Target.Target.Name + ": " + Fault);
+  const std::vector<std::size_t> Cuts = beginCutOfAll();
+  Target.Proxy->setFaults(Fault);
+  scheduleEnd(randomDelay(200, 2'000), [this, Cuts, &Target] {
+    Target.Proxy->setFaults("");
+    endInterruptions(Cuts);
+  });
+}
+
+void fault_schedule::forgetTargetConnections(store_target &Target) {
+  log("discards the state of connections to " + Target.Target.Name);
+  const std::vector<std::size_t> Cuts = beginCutOfAll();
+  Target.Proxy->forgetConnections();
+  endInterruptions(Cuts);
+}
+
 void fault_schedule::injectPlatformFault() {
   const std::string Fault = PlatformFaults[randomBelow(PlatformFaults.size())];
   log("platform: " + Fault);
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -7,8 +7,12 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <span>
 #include <string>
+#include <vector>
 
+#include "soak/target_announcements.h"
+#include "support/run_records.h"
 #include "support/store_fleet.h"
 
 namespace peridot::test {
@@ -29,6 +33,10 @@
   time_point keyRevokedAt() const { return KeyRevokedAt; }
   /// Accounts of the latest configuration.
   std::vector<store_account> accounts() const;
+  /// When the VMs were down, frozen or cut off.
+  const std::vector<vm_interruption> &interruptions() const {
+    return Interruptions;
+  }
 
 private:
   std::size_t randomBelow(std::size_t Limit) { return Random() % Limit; }
@@ -41,6 +49,18 @@
   /// earlier.
   void scheduleEnd(std::chrono::milliseconds After, std::function<void()> End);
   void log(const std::string &Event) const;
+  /// Records that a VM is interrupted from now on. \returns the number to pass
+  /// to endInterruption().
+  std::size_t beginInterruption(interruption_kind Kind, const store_node &Node);
+  void endInterruption(std::size_t Number);
+  /// The same for a cut of all VMs at once.
+  std::vector<std::size_t> beginCutOfAll();
+  void endInterruptions(std::span<const std::size_t> Numbers);
+  /// Sets faults of the link to a target and schedules their end. All VMs are
+  /// cut off from it meanwhile.
+  void breakTargetLink(store_target &Target, const std::string &Fault);
+  /// Existing connections to a target lose all further bytes.
+  void forgetTargetConnections(store_target &Target);
 
   void injectRandomFault();
   void killNode();
@@ -55,6 +75,8 @@
 
   store_fleet &Fleet;
   std::mt19937 Random;
+  target_announcer Announcer;
+  std::vector<vm_interruption> Interruptions;
   std::multimap<time_point, std::function<void()>> PendingEnds;
   /// By node index: whether its process has ended or is paused.
   std::vector<bool> IsNodeDown;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,8 @@
 
 #include "soak/fault_schedule.h"
 #include "support/caller_load.h"
+#include "support/run_checker.h"
+#include "support/target_rules.h"
 
 DEFINE_int32(first_seed, 0, "Seed of the first run; 0: a random seed");
 DEFINE_int32(seeds, 1, "Number of runs, with consecutive seeds");
@@ -69,10 +71,14 @@
     for (caller_load *Load : {&Keepers, &Crews})
       for (response_record &Response : Load->stop())
         Records.Responses.push_back(std::move(Response));
-    for (const auto &Target : Fleet.Targets)
+    for (const auto &Target : Fleet.Targets) {
       for (execution_record &Each :
            parseExecutions(Target->Target.executions()))
         Records.Executions.push_back(std::move(Each));
+      for (arrival_record &Each : parseArrivals(Target->Target.arrivals()))
+        Records.Arrivals.push_back(std::move(Each));
+    }
+    Records.Interruptions = Faults.interruptions();
     check(Records, Faults.keyRevokedAt());
     return Violations;
   }
@@ -124,8 +130,9 @@
                            std::to_string(static_cast<int>(Each.Kind)) + ": " +
                            Each.Detail);
     std::cout << "  " << Records.Responses.size() << " requests, " << Served
-              << " served, " << Records.Executions.size() << " runs"
-              << std::endl;
+              << " served, " << Records.Executions.size() << " runs, "
+              << countLeavingResponses(Records) << " words of leaving, "
+              << countPauses(Records) << " pauses" << std::endl;
   }
 
   unsigned Seed;
--- a/tests/stand_ins/target/main.cpp
+++ b/tests/stand_ins/target/main.cpp
@@ -1,11 +1,13 @@
 /// \file
 /// Stand-in for a target. It records each request that it runs; tests set its
-/// behaviour under /admin/behaviour.
+/// behaviour under /admin/behaviour, and what it announces in its responses
+/// under /admin/announcements.
 
 #include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
 #include "stand_ins/http_server.h"
+#include "stand_ins/target/arrival_log.h"
 #include "stand_ins/target/target_behaviour.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0: any free port");
@@ -23,14 +25,31 @@
     const std::string Target(Request.target());
     if (Target.starts_with("/admin/"))
       co_return handler_result{handleAdminRequest(Target)};
-    if (Target == "/health")
-      co_return handler_result{textResponse(200, "ok")};
+    handler_result Result;
+    if (Target == "/health") {
+      Result.Response = textResponse(200, "ok");
+      announceLeaving(Result.Response, Announcements.Process);
+      co_return Result;
+    }
     Pauses.recordArrival(pause_monitor::clock::now());
-    if (Behaviour.IsShedding)
-      co_return handler_result{shedResponse(Request)};
-    record(Request);
-    co_await simulateWork();
-    co_return respond(Request);
+    const int Process = Announcements.Process;
+    const std::size_t Arrival =
+        Arrivals.recordArrival(std::string(Request["X-Request-Id"]), Process);
+    const std::string RetryAfter = retryAfter();
+    if (Behaviour.IsShedding || !RetryAfter.empty()) {
+      Result.Response = shedResponse(RetryAfter);
+    } else {
+      record(Request);
+      co_await simulateWork();
+      Result = respond(Request);
+    }
+    if (Result.ShouldDropResponse)
+      co_return Result;
+    identify(Request, Result.Response);
+    const bool IsLeaving = announceLeaving(Result.Response, Process);
+    Arrivals.recordResponse(
+        Arrival, {.IsLeaving = IsLeaving, .Pause = parsePause(RetryAfter)});
+    co_return Result;
   }
 
 private:
@@ -63,40 +82,51 @@
     if (drawPercent(Behaviour.DropPercent))
       return {.Response = {}, .ShouldDropResponse = true};
     if (drawPercent(Behaviour.FailPercent))
-      return {failedResponse(Request)};
+      return {textResponse(500, "failed")};
     std::string Body = Request.body();
     if (Behaviour.ResponseBytes > 0)
       Body.assign(Behaviour.ResponseBytes, 'a');
     http_response Response = textResponse(200, std::move(Body));
-    Response.set("X-Target", FLAGS_name);
-    Response.set("X-Request-Id", Request["X-Request-Id"]);
-    Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
     Response.set("X-Response-Signature", "stand-in");
-    if (Behaviour.IsDraining) {
-      Response.set("Peridot-Target-State", "draining");
-      Response.set("Server-Leaving", "1");
-    }
     return {.Response = std::move(Response),
             .TruncateAt = Behaviour.TruncateAt};
   }
 
-  static http_response failedResponse(const http_request &Request) {
-    http_response Response = textResponse(500, "failed");
+  /// Adds the fields that tell which target and request a response is of.
+  static void identify(const http_request &Request, http_response &Response) {
+    Response.set("X-Target", FLAGS_name);
     Response.set("X-Request-Id", Request["X-Request-Id"]);
     Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
-    return Response;
   }
 
-  http_response shedResponse(const http_request &Request) {
+  /// Adds to a response of \p Process that the target leaves, if it does. A
+  /// process that another has replaced leaves. \returns whether it does.
+  bool announceLeaving(http_response &Response, int Process) const {
+    const bool IsLeaving = Behaviour.IsDraining || Announcements.IsLeaving ||
+                           Process != Announcements.Process;
+    if (IsLeaving) {
+      if (Response.count("Peridot-Target-State") == 0)
+        Response.set("Peridot-Target-State", "draining");
+      Response.set("Server-Leaving", "1");
+    }
+    return IsLeaving;
+  }
+
+  /// Value of Retry-After in refusals; empty: none.
+  std::string retryAfter() const {
+    return !Announcements.RetryAfter.empty() ? Announcements.RetryAfter
+           : Behaviour.IsShedding            ? Behaviour.RetryAfter
+                                             : "";
+  }
+
+  http_response shedResponse(const std::string &RetryAfter) {
     http_response Response = textResponse(503, "shed");
     Response.set("Peridot-Target-State", "shed");
     Response.set("X-Not-Executed", "1");
-    if (!Behaviour.RetryAfter.empty()) {
-      Response.set("Retry-After", Behaviour.RetryAfter);
-      Pauses.recordResponse(pause_monitor::clock::now(), Behaviour.RetryAfter);
+    if (!RetryAfter.empty()) {
+      Response.set("Retry-After", RetryAfter);
+      Pauses.recordResponse(pause_monitor::clock::now(), RetryAfter);
     }
-    Response.set("X-Request-Id", Request["X-Request-Id"]);
-    Response.set("Peridot-Attempt-Id", Request["Peridot-Attempt-Id"]);
     return Response;
   }
 
@@ -105,6 +135,12 @@
       Behaviour = parseBehaviour(Target);
       return textResponse(200, "");
     }
+    if (pathOf(Target) == "/admin/announcements") {
+      Announcements = parseAnnouncements(Target);
+      return textResponse(200, "");
+    }
+    if (pathOf(Target) == "/admin/arrivals")
+      return textResponse(200, Arrivals.encode(FLAGS_name));
     if (pathOf(Target) == "/admin/paused_arrivals")
       return textResponse(200, std::to_string(Pauses.maxArrivals()));
     return textResponse(200, encodeExecutions(Executions));
@@ -112,6 +148,8 @@
 
   boost::asio::io_context &Loop;
   target_behaviour Behaviour;
+  target_announcements Announcements;
+  arrival_log Arrivals;
   std::vector<execution> Executions;
   pause_monitor Pauses;
   std::mt19937 Random{20261204};
--- a/tests/stand_ins/target/target_behaviour.cpp
+++ b/tests/stand_ins/target/target_behaviour.cpp
@@ -41,6 +41,12 @@
   return Behaviour;
 }
 
+target_announcements parseAnnouncements(std::string_view Target) {
+  return {.Process = static_cast<int>(queryNumber(Target, "process", "1")),
+          .IsLeaving = queryValue(Target, "leaving", "0") == "1",
+          .RetryAfter = queryValue(Target, "retry_after", "")};
+}
+
 void pause_monitor::recordArrival(clock::time_point Now) {
   for (pause &Each : Pauses)
     if (Now >= Each.From && Now < Each.Until)
--- a/tests/stand_ins/target/target_behaviour.h
+++ b/tests/stand_ins/target/target_behaviour.h
@@ -31,6 +31,15 @@
   std::size_t ResponseBytes = 0;
 };
 
+/// What a target announces in all its responses, whatever its behaviour.
+struct target_announcements {
+  /// Differs between processes under the same name.
+  int Process = 1;
+  bool IsLeaving = false;
+  /// Refuses all requests with this Retry-After; empty: refuses none.
+  std::string RetryAfter;
+};
+
 /// Counts the requests that arrive although an earlier response asked for a
 /// pause, after a tolerance of half a second.
 class pause_monitor {
@@ -54,6 +63,8 @@
 
 /// Parses the query of /admin/behaviour.
 target_behaviour parseBehaviour(std::string_view Target);
+/// Parses the query of /admin/announcements.
+target_announcements parseAnnouncements(std::string_view Target);
 
 /// A request that the target ran.
 struct execution {
--- a/tests/support/caller_load.cpp
+++ b/tests/support/caller_load.cpp
@@ -47,6 +47,7 @@
     const std::string Id = Options.Account + "-" + std::to_string(Caller) +
                            "-" + std::to_string(Number);
     response_record Record = send(*Connection, Id);
+    Record.CallerPort = Options.Ports[Chosen];
     if (Record.Status == 0)
       Connection.reset();
     {
@@ -73,6 +74,7 @@
   Record.Status = Response.Status;
   Record.Outcome = fieldValue(Response, "peridot-outcome");
   Record.EchoedRequestId = fieldValue(Response, "x-request-id");
+  Record.Target = fieldValue(Response, "x-target");
   Record.ReceivedBody = Response.Body;
   return Record;
 }
--- a/tests/support/fleet_fixture.cpp
+++ b/tests/support/fleet_fixture.cpp
@@ -28,6 +28,15 @@
   return httpCall(Port, {.Path = "/admin/behaviour?" + Query});
 }
 
+client_response
+running_target::setAnnouncements(const std::string &Query) const {
+  return httpCall(Port, {.Path = "/admin/announcements?" + Query});
+}
+
+std::string running_target::arrivals() const {
+  return httpCall(Port, {.Path = "/admin/arrivals"}).Body;
+}
+
 int running_target::pausedArrivals() const {
   return std::stoi(httpCall(Port, {.Path = "/admin/paused_arrivals"}).Body);
 }
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -34,8 +34,12 @@
 
   /// Sets the behaviour, for example `fail_percent=40`.
   client_response setBehaviour(const std::string &Query) const;
+  /// Sets what all responses announce, for example `process=2&leaving=1`.
+  client_response setAnnouncements(const std::string &Query) const;
   /// JSON list of the requests that the target ran.
   std::string executions() const;
+  /// JSON list of the requests that reached the target.
+  std::string arrivals() const;
   /// Highest number of requests during a pause that the target asked for.
   int pausedArrivals() const;
 };
--- a/tests/support/run_checker.cpp
+++ b/tests/support/run_checker.cpp
@@ -1,9 +1,14 @@
 #include "support/run_checker.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
+#include <span>
 
 #include <boost/json.hpp>
 
+#include "support/target_rules.h"
+
 namespace peridot::test {
 
 namespace {
@@ -92,6 +97,8 @@
   checkKeys(Records, Found);
   for (const account_envelope &Envelope : Records.Envelopes)
     checkEnvelope(Records, Runs, Envelope, Found);
+  std::ranges::move(checkLeavingTargets(Records), std::back_inserter(Found));
+  std::ranges::move(checkPauses(Records), std::back_inserter(Found));
   return Found;
 }
 
@@ -106,4 +113,26 @@
   return Executions;
 }
 
+std::vector<arrival_record> parseArrivals(const std::string &Json) {
+  const auto TimeOf = [](const boost::json::value &Nanoseconds) {
+    return run_time(std::chrono::nanoseconds(Nanoseconds.as_int64()));
+  };
+  std::vector<arrival_record> Arrivals;
+  const boost::json::value Rows = boost::json::parse(Json);
+  for (const boost::json::value &Row : Rows.as_array()) {
+    const boost::json::value &RespondedAt = Row.at("responded_at");
+    Arrivals.push_back(
+        {.Target = std::string(Row.at("target").as_string()),
+         .Process = Row.at("process").to_number<int>(),
+         .RequestId = std::string(Row.at("request_id").as_string()),
+         .ArrivedAt = TimeOf(Row.at("arrived_at")),
+         .RespondedAt = RespondedAt.is_null()
+                            ? std::nullopt
+                            : std::optional(TimeOf(RespondedAt)),
+         .SaysLeaving = Row.at("says_leaving").as_bool(),
+         .Pause = std::chrono::milliseconds(Row.at("pause_ms").as_int64())});
+  }
+  return Arrivals;
+}
+
 } // namespace peridot::test
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -96,7 +96,7 @@
 }
 
 void store_fleet::registerTarget(const store_target &Target,
-                                 const std::string &State, int Born) const {
+                                 const std::string &State) const {
   put("/v1/objects/servers/" + Target.Target.Name,
       json::serialize(json::value{
           {"spec",
@@ -107,7 +107,7 @@
               {"version", "v1"},
               {"max-concurrency", Target.Slots}}},
             {"status", {{"state", State}, {"sequence", 1}}},
-            {"born", Born}}}}));
+            {"born", Target.Process}}}}));
 }
 
 void store_fleet::removeTarget(const store_target &Target) const {
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -36,6 +36,7 @@
   running_target Target;
   std::unique_ptr<running_proxy> Proxy;
   int Slots = DefaultSlots;
+  int Process = 1; ///< Differs between processes under the same name.
 };
 
 /// Starts an object platform stand-in; tests add nodes and targets.
@@ -55,10 +56,9 @@
   store_target &addTarget(const std::string &Name,
                           const std::string &DataCenter,
                           int Slots = DefaultSlots);
-  /// Writes the target's entry; \p State in the platform's spelling, \p Born
-  /// differs between processes under the same name.
+  /// Writes the target's entry; \p State in the platform's spelling.
   void registerTarget(const store_target &Target,
-                      const std::string &State = "ready", int Born = 1) const;
+                      const std::string &State = "ready") const;
   void removeTarget(const store_target &Target) const;
   /// Removes a node's entry, whatever its revision.
   void removeVm(const store_node &Node) const;
