--- a/src/coordination/health/types/attempt_observation.h
+++ b/src/coordination/health/types/attempt_observation.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "state/base/types/identifiers.h"
@@ -31,11 +33,15 @@
 struct attempt_observation {
   service_name Service;
   target_name Target;
+  /// Start of the target's process, as in target::StartedAt.
+  std::int64_t TargetStartedAt = 0;
   attempt_end End = attempt_end::Responded;
   duration Latency{0}; ///< From the first byte sent to the response head.
   bool ReusedConnection = false;
   duration ConnectionAge{0}; ///< Time since the connection was opened.
   target_signal Signal = target_signal::None;
+  /// Id of the request whose response has the signal; empty without one.
+  std::string SignallingRequest;
   /// Load from 0 to 1 that the target reported; negative if it reported none.
   double ReportedLoad = -1;
 };
--- a/src/coordination/hosting/types/host_messages.h
+++ b/src/coordination/hosting/types/host_messages.h
@@ -61,7 +61,8 @@
   target_name Target;
   attempt_end End = attempt_end::Responded;
   unsigned Count = 0;
-  bool IsLeaving = false; ///< The target said so in these responses.
+  bool IsLeaving = false;     ///< The target said so in these responses.
+  std::int64_t StartedAt = 0; ///< Of the target's process.
 
   bool operator==(const attempt_tally &) const = default;
 };
--- a/src/coordination/registry/internal/target_registry.cpp
+++ b/src/coordination/registry/internal/target_registry.cpp
@@ -92,7 +92,9 @@
 
 bool target_registry::accept(const target_leaving &Event, instant /*Now*/) {
   const auto Found = Entries.find(Event.Target);
-  if (Found == Entries.end() || std::exchange(Found->second.IsLeaving, true))
+  if (Found == Entries.end() ||
+      Found->second.Target.StartedAt != Event.StartedAt ||
+      std::exchange(Found->second.IsLeaving, true))
     return false;
   Decisions.push_back({Event.Target, target_transition::Leaving});
   return true;
--- a/src/coordination/registry/target_registry.h
+++ b/src/coordination/registry/target_registry.h
@@ -32,10 +32,13 @@
   target_name Target;
 };
 
-/// A target said in a response that it leaves. What its entry says may be
-/// older.
+/// A process of a target said in a response that it leaves. What its entry says
+/// may be older.
 struct target_leaving {
   target_name Target;
+  std::int64_t StartedAt = 0; ///< Of the process that said so.
+  /// Id of the request that got the response; empty if another VM received it.
+  std::string Request;
 };
 
 /// No VM that this one knows of reaches the store.
--- a/src/coordination/registry/tests/target_registry_test.cpp
+++ b/src/coordination/registry/tests/target_registry_test.cpp
@@ -160,6 +160,20 @@
   CHECK(Registry.takeDecisions().empty());
 }
 
+// A response may arrive after the entry of the process that replaced its own.
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_leavingOfReplacedProcess_laterOneInUse") {
+  Registry.handle(targets_listed{{make("a")}}, Now);
+  registered_target Restarted = make("a");
+  Restarted.StartedAt = 5;
+  Registry.handle(target_changed{Restarted}, Now);
+  CHECK(!Registry.handle(target_leaving{target_name("a")}, Now));
+  CHECK(inUse() == 1);
+  CHECK(Registry.handle(
+      target_leaving{.Target = target_name("a"), .StartedAt = 5}, Now));
+  CHECK(inUse() == 0);
+}
+
 // Pauses belong to a process, so routing has to know which one has the name.
 TEST_CASE_FIXTURE(target_registry_fixture,
                   "table_restartedTarget_hasStartOfProcess") {
--- a/src/protocol/host_messages/internal/host_codec.cpp
+++ b/src/protocol/host_messages/internal/host_codec.cpp
@@ -54,7 +54,8 @@
     const auto Name = Builder.CreateString(Each.Target.str());
     Evidence.push_back(wire::CreateTargetEvidence(
         Builder, Name, static_cast<std::uint8_t>(Each.End),
-        static_cast<std::uint16_t>(Each.Count), Each.IsLeaving));
+        static_cast<std::uint16_t>(Each.Count), Each.IsLeaving,
+        Each.StartedAt));
   }
   return wire::CreateEvidenceBatch(Builder, Builder.CreateVector(Evidence));
 }
@@ -108,7 +109,8 @@
           {.Target = target_name(textOf(*Each->target())),
            .End = static_cast<attempt_end>(std::min(Each->end(), LastEnd)),
            .Count = Each->count(),
-           .IsLeaving = Each->leaving()});
+           .IsLeaving = Each->leaving(),
+           .StartedAt = Each->started_at()});
   return Batch;
 }
 
--- a/src/protocol/host_messages/tests/host_codec_test.cpp
+++ b/src/protocol/host_messages/tests/host_codec_test.cpp
@@ -37,10 +37,12 @@
 }
 
 TEST_CASE("hostCodec_evidenceOfLeavingTarget_roundTrips") {
-  const host_message Message = evidence_batch{{{.Target = target_name("hive-1"),
-                                                .End = attempt_end::Shed,
-                                                .Count = 2,
-                                                .IsLeaving = true}}};
+  const host_message Message =
+      evidence_batch{{{.Target = target_name("hive-1"),
+                       .End = attempt_end::Shed,
+                       .Count = 2,
+                       .IsLeaving = true,
+                       .StartedAt = 1'780'000'000'000}}};
   const auto Decoded = decodeHostMessage(encodeHostMessage(Message));
   REQUIRE(Decoded);
   CHECK(*Decoded == Message);
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -415,11 +415,13 @@
   Worker.observe(
       {.Service = Service.Name,
        .Target = Target.Name,
+       .TargetStartedAt = Target.StartedAt,
        .End = endOf(Result),
        .Latency = HeadReceivedAt - StartedAt,
        .ReusedConnection = Result.ReusedConnection,
        .ConnectionAge = Age,
        .Signal = SaysDraining ? target_signal::Draining : target_signal::None,
+       .SignallingRequest = SaysDraining ? Result.AttemptId : std::string(),
        .ReportedLoad = Result.Report.Load});
 }
 
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -258,7 +258,8 @@
     const auto Existing =
         std::ranges::find_if(Batch.Evidence, [&](const attempt_tally &Row) {
           return Row.Target == Each.Target && Row.End == Each.End &&
-                 Row.IsLeaving == IsLeaving;
+                 Row.IsLeaving == IsLeaving &&
+                 Row.StartedAt == Each.TargetStartedAt;
         });
     if (Existing != Batch.Evidence.end())
       ++Existing->Count;
@@ -266,7 +267,8 @@
       Batch.Evidence.push_back({.Target = Each.Target,
                                 .End = Each.End,
                                 .Count = 1,
-                                .IsLeaving = IsLeaving});
+                                .IsLeaving = IsLeaving,
+                                .StartedAt = Each.TargetStartedAt});
   }
   if (Batch.Evidence.empty())
     return;
@@ -323,10 +325,10 @@
 void hosting_driver::on(const peer_hello & /*Sender*/,
                         const evidence_batch &Batch) {
   std::vector<attempt_observation> Observations;
-  std::vector<target_name> Leaving;
+  std::vector<target_leaving> Leaving;
   for (const attempt_tally &Each : Batch.Evidence) {
     if (Each.IsLeaving)
-      Leaving.push_back(Each.Target);
+      Leaving.push_back({.Target = Each.Target, .StartedAt = Each.StartedAt});
     for (unsigned Count = 0; Count < Each.Count; ++Count)
       Observations.push_back({.Target = Each.Target, .End = Each.End});
   }
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/hosting/hosting_machine.h"
+#include "coordination/registry/target_registry.h"
 #include "transport/node/control_context.h"
 #include "transport/platform/types/fleet_store.h"
 
@@ -12,7 +13,7 @@
 class hosting_driver {
 public:
   /// Called with targets that said to a peer that they leave.
-  using leaving_callback = std::function<void(std::span<const target_name>)>;
+  using leaving_callback = std::function<void(std::span<const target_leaving>)>;
 
   hosting_driver(node_services &Services, leaving_callback OnLeaving);
 
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -64,8 +64,8 @@
                               endpointOf(Services.Settings.PlatformAddress,
                                          Services.Settings.PlatformPort))),
       Hosting(Services,
-              [this](std::span<const target_name> Names) {
-                Follower.recordLeaving(Names);
+              [this](std::span<const target_leaving> Leaving) {
+                Follower.recordLeaving(Leaving);
               }),
       Follower(
           Services, Store,
@@ -138,13 +138,15 @@
 
 void store_control::reportLeaving(
     std::span<const attempt_observation> Attempts) {
-  std::vector<target_name> Names;
+  std::vector<target_leaving> Leaving;
   for (const attempt_observation &Each : Attempts)
     if (Each.Signal == target_signal::Draining)
-      Names.push_back(Each.Target);
-  if (!Names.empty())
-    asio::post(Services.Loop, [this, Leaving = std::move(Names)] {
-      Follower.recordLeaving(Leaving);
+      Leaving.push_back({.Target = Each.Target,
+                         .StartedAt = Each.TargetStartedAt,
+                         .Request = Each.SignallingRequest});
+  if (!Leaving.empty())
+    asio::post(Services.Loop, [this, Events = std::move(Leaving)] {
+      Follower.recordLeaving(Events);
     });
 }
 
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -72,8 +72,8 @@
     Targets.setStoreAvailableSince(Since, Now);
   }
   /// Records that targets said in responses that they leave.
-  void recordLeaving(std::span<const target_name> Names) {
-    Targets.recordLeaving(Names);
+  void recordLeaving(std::span<const target_leaving> Leaving) {
+    Targets.recordLeaving(Leaving);
   }
   /// Treats the store as unreachable, because other VMs reported it as such.
   void setStoreUnreachable();
--- a/src/transport/node/internal/target_publisher.cpp
+++ b/src/transport/node/internal/target_publisher.cpp
@@ -55,11 +55,12 @@
   expire(Now);
 }
 
-void target_publisher::recordLeaving(std::span<const target_name> Names) {
+void target_publisher::recordLeaving(std::span<const target_leaving> Leaving) {
   bool Changed = false;
-  for (const target_name &Each : Names) {
-    if (!Registry.handle(target_leaving{Each}, Services.Timers.now()))
+  for (const target_leaving &Each : Leaving) {
+    if (!Registry.handle(Each, Services.Timers.now()))
       continue;
+    logLeaving(Each);
     Services.Metrics.getOrCreateCounter("peridot_targets_leaving_total").add();
     Changed = true;
   }
@@ -68,6 +69,15 @@
     publish();
 }
 
+void target_publisher::logLeaving(const target_leaving &Event) {
+  logEvent(log_level::Info, "target-leaving",
+           {{"target", Event.Target.view()},
+            {"started_at", Event.StartedAt},
+            {"request", std::string_view(Event.Request)},
+            {"rule", "it gets no new requests until its entry is removed or "
+                     "is that of a later process"}});
+}
+
 void target_publisher::expire(instant Now) {
   if (!Registry.expire(Now))
     return;
--- a/src/transport/node/internal/target_publisher.h
+++ b/src/transport/node/internal/target_publisher.h
@@ -20,13 +20,14 @@
   void start();
   /// Applies a list of all entries or the changes since the last result.
   void apply(const store_items &Items, bool IsList);
+  /// Records that targets said in responses that they leave.
+  void recordLeaving(std::span<const target_leaving> Leaving);
   /// Sets since when the store has been available to at least one known VM;
   /// empty: it is available to none.
-  /// Records that targets said in responses that they leave.
-  void recordLeaving(std::span<const target_name> Names);
   void setStoreAvailableSince(std::optional<instant> Since, instant Now);
 
 private:
+  static void logLeaving(const target_leaving &Event);
   void expire(instant Now);
   /// Logs what the registry decided since the last call.
   void logDecisions();
--- a/tests/integration/object_platform_test.cpp
+++ b/tests/integration/object_platform_test.cpp
@@ -70,6 +70,21 @@
     std::this_thread::sleep_for(3s);
   }
 
+  /// Checks that all nodes report that the first target leaves, and at least
+  /// one of them the request whose response said so.
+  void checkLeavingReported() const {
+    std::size_t WithRequest = 0;
+    for (const auto &Each : Nodes) {
+      const std::string Line = Each->Node.Process->awaitLine("target-leaving");
+      CHECK(Line.find(R"("target":"hive-1")") != Line.npos);
+      WithRequest += Line.find(R"("request":"r)") != Line.npos ? 1 : 0;
+      CHECK(httpCall(Each->Node.OperatorPort, {.Path = "/metrics"})
+                .Body.find("peridot_targets_leaving_total 1\n") !=
+            std::string::npos);
+    }
+    CHECK(WithRequest > 0);
+  }
+
   /// Waits until a node has reached the store a second time since its start.
   static void awaitRegainedTwice(const store_node &Each) {
     awaitCondition("the store to be regained", [&] {
@@ -305,6 +320,7 @@
   std::this_thread::sleep_for(500ms);
   for (std::size_t Node = 0; Node < Nodes.size(); ++Node)
     CHECK(countServedElsewhere(Node, 20) == 20);
+  checkLeavingReported();
 }
 
 // The same with the store away, and with an older state of the entry that is
