--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -229,8 +229,8 @@
   std::size_t RunningRejections = 0;
   bool IsShuttingDown = false;
   std::optional<shutdown_schedule> ShutdownSchedule;
-  /// Must outlive the loop, whose coroutines hold slots of these queues, entries
-  /// of this list and reservations of these buffers.
+  /// Must outlive the loop, whose coroutines hold slots of these queues,
+  /// entries of this list and reservations of these buffers.
   std::unique_ptr<service_queues> Queues;
   std::unique_ptr<running_requests> RunningRequests;
   response_buffers ResponseBuffers;
