--- a/tests/integration/target_rules_test.cpp
+++ b/tests/integration/target_rules_test.cpp
@@ -201,6 +201,14 @@
   }
 }
 
+TEST_CASE_FIXTURE(paused_target_fixture,
+                  "checkRun_cutFromPausedTarget_noViolation") {
+  addArrivalsInPause(3);
+  interrupt(interruption_kind::Cut, 600ms, 700ms);
+  Records.Interruptions.back().Target = "hive-1";
+  CHECK(checkRun(Records).empty());
+}
+
 TEST_CASE_FIXTURE(paused_target_fixture,
                   "checkRun_interruptionThatIsNoExcuseForPause_violation") {
   addArrivalsInPause(3);
@@ -213,6 +221,10 @@
   SUBCASE("of another VM") {
     interrupt(interruption_kind::Cut, 600ms, 700ms, SecondVm);
   }
+  SUBCASE("cut from another target") {
+    interrupt(interruption_kind::Cut, 600ms, 700ms);
+    Records.Interruptions.back().Target = "hive-2";
+  }
   CHECK(findsOnly(violation_kind::RequestsInPause));
 }
 
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -20,6 +20,11 @@
     "down=1", "silent=1", "delay_ms=200",   "lose_answers=3",
     "deaf=1", "forget=1", "deaf=1&forget=1"};
 
+/// Whether a link fault is a cut: a delay is none.
+bool losesBytes(const std::string &LinkFault) {
+  return LinkFault.find("delay") == std::string::npos;
+}
+
 } // namespace
 
 fault_schedule::fault_schedule(store_fleet &Fleet, unsigned Seed)
@@ -44,9 +49,11 @@
 }
 
 std::size_t fault_schedule::beginInterruption(interruption_kind Kind,
-                                              const store_node &Node) {
+                                              const store_node &Node,
+                                              const std::string &Target) {
   Interruptions.push_back({.Kind = Kind,
                            .CallerPort = Node.Node.CallerPort,
+                           .Target = Target,
                            .From = steady::now(),
                            .Until = time_point::max()});
   return Interruptions.size() - 1;
@@ -56,10 +63,12 @@
   Interruptions[Number].Until = steady::now();
 }
 
-std::vector<std::size_t> fault_schedule::beginCutOfAll() {
+std::vector<std::size_t>
+fault_schedule::beginCutOfAll(const store_target &Target) {
   std::vector<std::size_t> Cuts;
   for (const auto &Node : Fleet.Nodes)
-    Cuts.push_back(beginInterruption(interruption_kind::Cut, *Node));
+    Cuts.push_back(
+        beginInterruption(interruption_kind::Cut, *Node, Target.Target.Name));
   return Cuts;
 }
 
@@ -164,11 +173,13 @@
     return;
   }
   log("link from " + Node.Node.Name + " to the platform: " + LinkFaults[Kind]);
-  const std::size_t Cut = beginInterruption(interruption_kind::Cut, Node);
+  std::vector<std::size_t> Cuts;
+  if (losesBytes(LinkFaults[Kind]))
+    Cuts.push_back(beginInterruption(interruption_kind::Cut, Node));
   Node.Proxy->setFaults(LinkFaults[Kind]);
-  scheduleEnd(randomDelay(200, 3'000), [this, Cut, &Node] {
+  scheduleEnd(randomDelay(200, 3'000), [this, Cuts, &Node] {
     Node.Proxy->setFaults("");
-    endInterruption(Cut);
+    endInterruptions(Cuts);
   });
 }
 
@@ -192,7 +203,8 @@
 void fault_schedule::breakTargetLink(store_target &Target,
                                      const std::string &Fault) {
   log("link to " + Target.Target.Name + ": " + Fault);
-  const std::vector<std::size_t> Cuts = beginCutOfAll();
+  const std::vector<std::size_t> Cuts =
+      losesBytes(Fault) ? beginCutOfAll(Target) : std::vector<std::size_t>();
   Target.Proxy->setFaults(Fault);
   scheduleEnd(randomDelay(200, 2'000), [this, Cuts, &Target] {
     Target.Proxy->setFaults("");
@@ -202,7 +214,7 @@
 
 void fault_schedule::forgetTargetConnections(store_target &Target) {
   log("discards the state of connections to " + Target.Target.Name);
-  const std::vector<std::size_t> Cuts = beginCutOfAll();
+  const std::vector<std::size_t> Cuts = beginCutOfAll(Target);
   Target.Proxy->forgetConnections();
   endInterruptions(Cuts);
 }
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -51,13 +51,14 @@
   void log(const std::string &Event) const;
   /// Records that a VM is interrupted from now on. \returns the number to pass
   /// to endInterruption().
-  std::size_t beginInterruption(interruption_kind Kind, const store_node &Node);
+  std::size_t beginInterruption(interruption_kind Kind, const store_node &Node,
+                                const std::string &Target = "");
   void endInterruption(std::size_t Number);
-  /// The same for a cut of all VMs at once.
-  std::vector<std::size_t> beginCutOfAll();
+  /// The same for a cut of all VMs from a target.
+  std::vector<std::size_t> beginCutOfAll(const store_target &Target);
   void endInterruptions(std::span<const std::size_t> Numbers);
   /// Sets faults of the link to a target and schedules their end. All VMs are
-  /// cut off from it meanwhile.
+  /// cut off from it meanwhile if the fault loses bytes.
   void breakTargetLink(store_target &Target, const std::string &Fault);
   /// Existing connections to a target lose all further bytes.
   void forgetTargetConnections(store_target &Target);
--- a/tests/support/run_records.h
+++ b/tests/support/run_records.h
@@ -43,6 +43,7 @@
 struct vm_interruption {
   interruption_kind Kind = interruption_kind::Restart;
   std::uint16_t CallerPort = 0; ///< Of the VM.
+  std::string Target; ///< That a cut keeps it from; empty: the platform.
   run_time From{};
   run_time Until{};
 };
--- a/tests/support/target_rules.cpp
+++ b/tests/support/target_rules.cpp
@@ -42,13 +42,26 @@
   return Groups;
 }
 
-bool isExcused(const run_records &Records, std::uint16_t CallerPort,
-               run_time From, run_time Until, bool DoesCutExcuse) {
+/// Whether the VM was restarted or frozen in a time.
+bool wasStopped(const run_records &Records, const vm_and_process &Pair,
+                run_time From, run_time Until) {
+  return std::ranges::any_of(Records.Interruptions,
+                             [&](const vm_interruption &Each) {
+                               return Each.Kind != interruption_kind::Cut &&
+                                      Each.CallerPort == Pair.CallerPort &&
+                                      Each.From <= Until && Each.Until >= From;
+                             });
+}
+
+/// Whether the VM was cut off from the platform or from the target in a time.
+bool wasCutOff(const run_records &Records, const vm_and_process &Pair,
+               run_time From, run_time Until) {
   return std::ranges::any_of(
       Records.Interruptions, [&](const vm_interruption &Each) {
-        return Each.CallerPort == CallerPort && Each.From <= Until &&
-               Each.Until >= From &&
-               (DoesCutExcuse || Each.Kind != interruption_kind::Cut);
+        return Each.Kind == interruption_kind::Cut &&
+               Each.CallerPort == Pair.CallerPort &&
+               (Each.Target.empty() || Each.Target == Pair.Target) &&
+               Each.From <= Until && Each.Until >= From;
       });
 }
 
@@ -99,8 +112,8 @@
   std::string First;
   for (const sent_arrival &Each : Group) {
     const auto PassedOn = lastPassedOn(Group, Each.Sent->SentAt - DrainTime);
-    if (!PassedOn || isExcused(Records, Pair.CallerPort, *PassedOn,
-                               Each.Arrival->ArrivedAt, false))
+    if (!PassedOn ||
+        wasStopped(Records, Pair, *PassedOn, Each.Arrival->ArrivedAt))
       continue;
     if (++Count == 1)
       First = Each.Arrival->RequestId + " was sent " +
@@ -125,7 +138,8 @@
     const std::size_t Count =
         countArrivals(Group, *RespondedAt + PauseTolerance, End);
     if (Count > MaxArrivalsInPause &&
-        !isExcused(Records, Pair.CallerPort, *RespondedAt, End, true))
+        !wasStopped(Records, Pair, *RespondedAt, End) &&
+        !wasCutOff(Records, Pair, *RespondedAt, End))
       return violation{violation_kind::RequestsInPause,
                        describe(Pair) + ": " + std::to_string(Count) +
                            " requests in the pause of " +
--- a/tests/support/target_rules.h
+++ b/tests/support/target_rules.h
@@ -28,7 +28,8 @@
 
 /// One violation for each VM and process of a target that got more than
 /// MaxArrivalsInPause requests from the VM in a pause that it asked this VM
-/// for. A restart, freeze or cut of the VM during the pause excuses.
+/// for. A restart or freeze of the VM during the pause excuses, and so does a
+/// cut from the platform or from this target.
 std::vector<violation> checkPauses(const run_records &Records);
 
 /// Number of responses passed on to callers in which a target says that it
