--- a/src/transport/callers/internal/body_relay.h
+++ b/src/transport/callers/internal/body_relay.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "transport/callers/internal/relay_watch.h"
+#include "transport/callers/internal/request_progress.h"
 
 namespace peridot {
 
@@ -47,6 +48,8 @@
   relay_watch &Watch;
   /// Maximum number of bytes that may still be copied.
   std::uint64_t AllowedBytes = std::numeric_limits<std::uint64_t>::max();
+  /// Enters the step Response before the first write, if set.
+  request_progress *Response = nullptr;
 };
 
 /// Parses the received bytes.
@@ -120,6 +123,8 @@
     Copy.SinkBody.data = Size > 0 ? Copy.BodyBuffer.data() : nullptr;
     Copy.SinkBody.size = Size;
     Copy.SinkBody.more = SourceError || !Copy.Source.is_done();
+    if (Copy.Response && Copy.Response->step() != request_step::Response)
+      Copy.Response->enter(request_step::Response);
     auto [Error, Written] =
         co_await http::async_write(Copy.To, Copy.Sink, UseTaskTuple);
     if (Error && Error != http::error::need_buffer)
--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -40,16 +40,15 @@
   const slot_guard Slot = Worker.targets().occupySlot(Target.Name);
   target_connection_ptr Connection =
       co_await connect(Target, maxIdleTime(*Admitted.Route));
+  if (EndedForShutdown) {
+    Result.Cause = refusal_kind::ShuttingDown;
+    co_return Result;
+  }
   if (!Connection) {
     Result.Detail =
         "target " + Target.Name.str() + " did not accept a connection";
     co_return Result;
   }
-  if (EndedForShutdown) {
-    Result.Progress = attempt_progress::NothingSent;
-    Result.Cause = refusal_kind::ShuttingDown;
-    co_return Result;
-  }
   Result.ReusedConnection = Connection->RequestCount++ > 0;
   Result.OpenedAt = Connection->OpenedAt;
   Result.Progress = attempt_progress::NothingSent;
@@ -129,8 +128,10 @@
   tcp_stream Stream(Worker.loop().get_executor());
   Stream.expires_at(
       std::min(Deadline, std::chrono::steady_clock::now() + ConnectTimeout));
+  AttemptStream = &Stream;
   auto [ConnectError] = co_await Stream.async_connect(
       asio::ip::tcp::endpoint(Address, Target.Port), UseTaskTuple);
+  AttemptStream = nullptr;
   if (ConnectError)
     co_return nullptr;
   Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -179,12 +179,12 @@
   Forwarded.body().size = 0;
   Forwarded.body().more = !Response.is_done();
   http::response_serializer<http::buffer_body> Serializer(Forwarded);
-  Progress.enter(request_step::Response);
   Caller.expires_at(Deadline);
   Watch.noteResponseStarted();
   // If body bytes were received with the head, both are sent together.
   if (Response.is_done() || Buffer.size() == 0) {
     CallerGotBytes = true;
+    Progress.enter(request_step::Response);
     auto [Error, Written] =
         co_await http::async_write_header(Caller, Serializer, UseTaskTuple);
     Result.CallerDisconnected = Error.failed();
@@ -201,7 +201,8 @@
       .SinkBody = Forwarded.body(),
       .To = Caller,
       .BodyBuffer = *BodyBuffer,
-      .Watch = Watch};
+      .Watch = Watch,
+      .Response = &Progress};
   const copy_result End = co_await relayBody(Copy);
   CallerGotBytes =
       Serializer.is_header_done() || End.Failure == copy_failure::Sink;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -102,7 +102,6 @@
         .CallerDisconnected = true,
         .Unanswered = unanswered_request{
             .Cause = unanswered_cause::BodyNotReceived, .Error = BodyError}};
-  Progress.enter(request_step::Target);
   retry_budget &Retries =
       Worker.retries().getOrCreate(retryBudgetKeyOf(Admitted));
   Retries.recordRequest();
@@ -114,6 +113,7 @@
     if (!Target)
       break;
     RetryTime = retryTime(*Admitted.Route, Retries);
+    Progress.enter(request_step::Target);
     attempt_result Result = co_await attemptAndObserve(*Target, Admitted);
     HasAskedTarget |= Result.Progress > attempt_progress::NothingSent;
     if (Result.IsComplete)
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -210,7 +210,8 @@
   boost::system::error_code BodyError;
   bool CallerGotBytes = false;
   bool EndedForShutdown = false; ///< Refused because the process ends.
-  /// Connection of the current attempt; null between attempts.
+  /// Connection of the current attempt, also while it is opened; null between
+  /// attempts.
   tcp_stream *AttemptStream = nullptr;
   bool SentKeepAlive = false; ///< The response head announced keep-alive.
   std::chrono::steady_clock::time_point Deadline{};
--- a/tests/integration/session_end_test.cpp
+++ b/tests/integration/session_end_test.cpp
@@ -1,12 +1,18 @@
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <memory>
 #include <thread>
 #include <vector>
 
+#include <sys/socket.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 #include "support/caller_fixture.h"
@@ -154,8 +160,8 @@
   const client_response Response = Caller.receive();
   INFO(Response.Error);
   CHECK(isUnknownOutcome(Response));
-  CHECK(countLines(node(), "request-refused") == 1);
   checkEndedInOrder();
+  CHECK(countLines(node(), "request-refused") == 1);
 }
 
 // Guards against the same for a request that may be repeated.
@@ -169,8 +175,8 @@
   const client_response Response = Caller.receive();
   INFO(Response.Error);
   CHECK(isUnknownOutcome(Response));
-  CHECK(countLines(node(), "request-refused") == 1);
   checkEndedInOrder();
+  CHECK(countLines(node(), "request-refused") == 1);
 }
 
 // Guards against a caller that is still sending its body when the process ends,
@@ -578,3 +584,161 @@
   Queued.checkAllAnswered();
   CHECK(countLines(*node().Process, "request-unanswered") == 0);
 }
+
+namespace {
+
+/// Adds the route /again, which may be repeated and has two scripted targets;
+/// the script is given the number of requests before.
+struct scripted_pair_fixture : session_end_fixture {
+  using numbered_script =
+      std::function<void(scripted_connection &Connection, unsigned Number)>;
+
+  void addScriptedTargets(numbered_script Script) {
+    Scripted = std::make_unique<scripted_target>(
+        [this, Run = std::move(Script)](scripted_connection &Connection) {
+          if (!Connection.readUntil("\r\n\r\n"))
+            return;
+          if (Connection.received().starts_with("OPTIONS"))
+            Connection.send("HTTP/1.1 204 No Content\r\n"
+                            "Connection: close\r\n\r\n");
+          else
+            Run(Connection, Requests++);
+        });
+    publishTargets({Scripted->port(), Scripted->port()});
+  }
+  void publishTargets(const std::vector<std::uint16_t> &Ports) {
+    std::ofstream File(folder() + "/services/again.toml");
+    File << "service = \"again\"\n[[route]]\npath = \"/again\"\n"
+            "open = true\nrepeatable = true\n";
+    unsigned Number = 0;
+    for (const std::uint16_t Port : Ports)
+      File << "[[target]]\nname = \"again-" << ++Number
+           << "\"\ndata_center = \"lakes-a\"\naddress = \"127.0.0.1\"\n"
+              "port = "
+           << Port << "\n";
+    File.close();
+    publish("scripted targets");
+    awaitRevision(2);
+    awaitCondition("the route /again in the traffic thread", [&] {
+      return httpCall(port(), {.Method = "OPTIONS", .Path = "/again"}).Status !=
+             404;
+    });
+  }
+  void awaitRequests(unsigned Count) const {
+    awaitCondition("the requests at the targets",
+                   [&] { return Requests.load() >= Count; });
+  }
+
+  std::atomic<unsigned> Requests = 0;
+  std::unique_ptr<scripted_target> Scripted;
+};
+
+/// A response whose first chunk has not been received.
+constexpr const char *HeadAndPartOfChunkSize =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5";
+
+} // namespace
+
+// Guards against a request that is not told of the end because an earlier
+// attempt had received the beginning of a response, of which the caller got
+// nothing.
+TEST_CASE_FIXTURE(scripted_pair_fixture,
+                  "node_secondAttemptAfterBrokenResponseAtLimit_answered") {
+  addScriptedTargets([](scripted_connection &Connection, unsigned Number) {
+    if (Number == 0)
+      Connection.send(HeadAndPartOfChunkSize);
+    else
+      Connection.readToEnd();
+  });
+  http_connection Caller(port());
+  Caller.send(get("/again"));
+  awaitRequests(2);
+  beginStop();
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK(isUnknownOutcome(Response));
+  checkEndedInOrder();
+}
+
+// Guards against a request that is cut off without an answer though its caller
+// has got no byte of the response.
+TEST_CASE_FIXTURE(scripted_pair_fixture,
+                  "node_responseBegunNoneOfItSentAtLimit_answered") {
+  addScriptedTargets([](scripted_connection &Connection, unsigned) {
+    Connection.send(HeadAndPartOfChunkSize);
+    Connection.readToEnd();
+  });
+  http_connection Caller(port());
+  Caller.send(get("/again"));
+  awaitRequests(1);
+  beginStop();
+  const client_response Response = Caller.receive();
+  INFO(Response.Error);
+  CHECK(isUnknownOutcome(Response));
+  checkEndedInOrder();
+}
+
+namespace {
+
+/// A listener whose backlog is full: connects to it neither succeed nor fail.
+class full_listener {
+public:
+  full_listener() {
+    Acceptor.open(boost::asio::ip::tcp::v4());
+    Acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    Acceptor.listen(0);
+    for (int Count = 0; Count < 4; ++Count) {
+      auto &Socket = Sockets.emplace_back(Loop);
+      Socket.open(boost::asio::ip::tcp::v4());
+      Socket.native_non_blocking(true);
+      // connect() of the socket would wait for the connection.
+      const auto Endpoint = Acceptor.local_endpoint();
+      ::connect(Socket.native_handle(), Endpoint.data(),
+                static_cast<socklen_t>(Endpoint.size()));
+    }
+  }
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+
+private:
+  boost::asio::io_context Loop;
+  boost::asio::ip::tcp::acceptor Acceptor{Loop};
+  std::vector<boost::asio::ip::tcp::socket> Sockets;
+};
+
+} // namespace
+
+// Guards against a request that is not told of the end while it connects to a
+// target, and is cut off without an answer.
+TEST_CASE_FIXTURE(scripted_pair_fixture,
+                  "node_connectingAtLimit_refusedBeforeEnd") {
+  constexpr std::size_t Callers = 8;
+  // Less than the time for a connect before the end.
+  constexpr auto ShedAfter = ShutdownLimit - 430ms;
+  full_listener Full;
+  std::promise<steady_clock::time_point> Begun;
+  const std::shared_future<steady_clock::time_point> Stop =
+      Begun.get_future().share();
+  Scripted = std::make_unique<scripted_target>(
+      [this, Stop, ShedAfter](scripted_connection &Connection) {
+        if (!Connection.readUntil("\r\n\r\n"))
+          return;
+        if (Connection.received().starts_with("OPTIONS")) {
+          Connection.send("HTTP/1.1 204 No Content\r\n"
+                          "Connection: close\r\n\r\n");
+          return;
+        }
+        ++Requests;
+        std::this_thread::sleep_until(Stop.get() + ShedAfter);
+        Connection.send("HTTP/1.1 503 Service Unavailable\r\n"
+                        "Peridot-Target-State: shed\r\n"
+                        "Content-Length: 0\r\nConnection: close\r\n\r\n");
+      });
+  publishTargets({Scripted->port(), Full.port(), Full.port()});
+  Running.send(port(), Callers, get("/again"));
+  awaitRequests(1);
+  std::this_thread::sleep_for(1s); // Connects to the others have timed out.
+  beginStop();
+  Begun.set_value(StopSentAt);
+  Running.checkAllAnswered();
+  checkEndedInOrder();
+}
