--- a/src/coordination/registry/internal/target_registry.cpp
+++ b/src/coordination/registry/internal/target_registry.cpp
@@ -70,10 +70,8 @@
     return true;
   const bool Changed = Found->second.Target != Event.Target;
   recordUpdate(Found->second, Event.Target);
-  const bool IsSameProcess =
-      Found->second.Target.StartedAt == Event.Target.StartedAt;
   Found->second = {.Target = Event.Target,
-                   .IsLeaving = Found->second.IsLeaving && IsSameProcess};
+                   .LeavingProcess = Found->second.LeavingProcess};
   return Changed;
 }
 
@@ -92,9 +90,14 @@
 
 bool target_registry::accept(const target_leaving &Event, instant /*Now*/) {
   const auto Found = Entries.find(Event.Target);
-  if (Found == Entries.end() ||
-      Found->second.Target.StartedAt != Event.StartedAt ||
-      std::exchange(Found->second.IsLeaving, true))
+  if (Found == Entries.end())
+    return false;
+  entry &Entry = Found->second;
+  if (Event.StartedAt < Entry.LeavingProcess.value_or(Entry.Target.StartedAt))
+    return false;
+  const bool WasLeaving = Entry.isLeaving();
+  Entry.LeavingProcess = Event.StartedAt;
+  if (WasLeaving || !Entry.isLeaving())
     return false;
   Decisions.push_back({Event.Target, target_transition::Leaving});
   return true;
@@ -125,7 +128,7 @@
 target_table target_registry::table() const {
   target_table Table;
   for (const auto &[Name, Entry] : Entries) {
-    if (Entry.Target.Phase != target_phase::Ready || Entry.IsLeaving)
+    if (Entry.Target.Phase != target_phase::Ready || Entry.isLeaving())
       continue;
     target &Listed =
         Table[Entry.Target.Service].emplace_back(Entry.Target.Target);
--- a/src/coordination/registry/target_registry.h
+++ b/src/coordination/registry/target_registry.h
@@ -108,7 +108,13 @@
   struct entry {
     registered_target Target;
     std::optional<instant> MissingSince;
-    bool IsLeaving = false; ///< The target has said so itself.
+    /// Start of the latest process that has said itself that it leaves. Its
+    /// entry may not be known yet.
+    std::optional<std::int64_t> LeavingProcess;
+
+    bool isLeaving() const {
+      return LeavingProcess && *LeavingProcess >= Target.StartedAt;
+    }
   };
 
   bool accept(const targets_listed &Event, instant Now);
--- a/src/coordination/registry/tests/target_registry_test.cpp
+++ b/src/coordination/registry/tests/target_registry_test.cpp
@@ -184,3 +184,16 @@
   REQUIRE(Table.size() == 1);
   CHECK(Table.begin()->second.front().StartedAt == 5);
 }
+
+// Guards against word of leaving that arrives before the entry of the process
+// that gave it: another VM of the data centre may know that entry earlier.
+TEST_CASE_FIXTURE(target_registry_fixture,
+                  "handle_leavingBeforeEntryOfProcess_notInUse") {
+  Registry.handle(targets_listed{{make("a")}}, Now);
+  Registry.handle(target_leaving{.Target = target_name("a"), .StartedAt = 5},
+                  Now);
+  registered_target Restarted = make("a");
+  Restarted.StartedAt = 5;
+  Registry.handle(target_changed{Restarted}, Now);
+  CHECK(inUse() == 0);
+}
