--- a/src/coordination/routing/internal/shutdown_rule.cpp
+++ b/src/coordination/routing/internal/shutdown_rule.cpp
@@ -15,13 +15,16 @@
 
 } // namespace
 
-shutdown_schedule scheduleShutdown(instant Now, duration Limit) {
+shutdown_schedule scheduleShutdown(instant Now, duration Limit,
+                                   duration AddressLifetime) {
   const duration Reserve = Limit / ReserveDivisor;
   const instant EndsAt = Now + Limit - Reserve;
   return {.BeganAt = Now,
+          .AddressesEndAt = Now + std::min(AddressLifetime, Limit / 2),
           .IdleClosesAt = EndsAt - Reserve,
           .AnswersAt = EndsAt - Reserve / 2,
-          .EndsAt = EndsAt};
+          .EndsAt = EndsAt,
+          .KilledAt = Now + Limit};
 }
 
 instant endAfterRefusals(const shutdown_schedule &Shutdown, instant RefusedAt) {
@@ -34,9 +37,7 @@
   const duration TimeLeft = Shutdown.AnswersAt - Now;
   if (Request.Timeout <= TimeLeft)
     return true;
-  const duration Length = Shutdown.AnswersAt - Shutdown.BeganAt;
-  const bool IsFirstHalf = Now - Shutdown.BeganAt < Length / 2;
-  return IsFirstHalf && Request.Typical > duration{0} &&
+  return Now < Shutdown.AddressesEndAt && Request.Typical > duration{0} &&
          Request.Typical * TypicalLatencyFactor <= TimeLeft;
 }
 
--- a/src/coordination/routing/shutdown_rule.h
+++ b/src/coordination/routing/shutdown_rule.h
@@ -9,6 +9,8 @@
 /// When a VM began to shut down and when its process ends.
 struct shutdown_schedule {
   instant BeganAt{};
+  /// Until when callers may hold addresses of the VM.
+  instant AddressesEndAt{};
   /// When connections without a request are closed, and requests refused that
   /// wait to run.
   instant IdleClosesAt{};
@@ -16,12 +18,16 @@
   instant AnswersAt{};
   /// When the process ends, whatever is open.
   instant EndsAt{};
+  /// When the platform kills the process.
+  instant KilledAt{};
 };
 
 /// Returns the schedule of a shutdown that begins at \p Now, of a process that
 /// is killed \p Limit after the signal was sent to it. The signal may be
 /// handled late, and the process takes time to end.
-shutdown_schedule scheduleShutdown(instant Now, duration Limit);
+/// \param AddressLifetime how long callers may use an address response.
+shutdown_schedule scheduleShutdown(instant Now, duration Limit,
+                                   duration AddressLifetime);
 
 /// Returns when a process ends that refused its last requests at \p RefusedAt.
 /// One that stood still until then still takes the time for the refusals.
@@ -37,9 +43,8 @@
 /// would be refused because the process ends. A request that is accepted and
 /// cut off may have run; one that is refused can be sent to another VM at once.
 ///
-/// In the first half of the shutdown, while callers may still hold addresses of
-/// this VM, several times the typical latency is enough. Later only the timeout
-/// counts.
+/// While callers may still hold addresses of this VM, several times the typical
+/// latency is enough. Later only the timeout counts.
 bool endsBeforeShutdown(const request_duration &Request,
                         const shutdown_schedule &Shutdown, instant Now);
 
--- a/src/coordination/routing/tests/shutdown_rule_test.cpp
+++ b/src/coordination/routing/tests/shutdown_rule_test.cpp
@@ -14,6 +14,7 @@
   }
 
   shutdown_schedule Shutdown{.BeganAt = instant(100s),
+                             .AddressesEndAt = instant(103s),
                              .IdleClosesAt = instant(105s),
                              .AnswersAt = instant(106s),
                              .EndsAt = instant(107s)};
@@ -25,7 +26,7 @@
 // its time from when it handled the signal.
 TEST_CASE("scheduleShutdown_signalHandledLate_endsBeforeTheKill") {
   const instant SentAt(100s);
-  const shutdown_schedule Shutdown = scheduleShutdown(SentAt + 200ms, 6s);
+  const shutdown_schedule Shutdown = scheduleShutdown(SentAt + 200ms, 6s, 3s);
   CHECK(Shutdown.EndsAt < SentAt + 6s);
   CHECK(Shutdown.IdleClosesAt < Shutdown.AnswersAt);
   CHECK(Shutdown.AnswersAt < Shutdown.EndsAt);
@@ -67,3 +68,14 @@
   CHECK(endAfterRefusals(Shutdown, Shutdown.AnswersAt) == Shutdown.EndsAt);
   CHECK(endAfterRefusals(Shutdown, Shutdown.EndsAt) == Shutdown.EndsAt + 1s);
 }
+
+// Guards against requests that are sent after callers have stopped using the
+// addresses, are accepted by their typical latency, and are broken off at the
+// end.
+TEST_CASE("endsBeforeShutdown_longLimitAfterAddressLifetime_timeoutCounts") {
+  const instant SentAt(100s);
+  const shutdown_schedule Shutdown = scheduleShutdown(SentAt, 20s, 3s);
+  const request_duration Request{.Timeout = 30s, .Typical = 200ms};
+  CHECK(endsBeforeShutdown(Request, Shutdown, SentAt + 2900ms));
+  CHECK(!endsBeforeShutdown(Request, Shutdown, SentAt + 3100ms));
+}
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -196,7 +196,10 @@
 }
 
 void traffic_worker::refuseRunningRequests() {
-  asio::post(Loop.context(), [this] { RunningRequests->endAll(); });
+  asio::post(Loop.context(), [this] {
+    RunningRequests->endAll();
+    HasRefusedRequests = true;
+  });
 }
 
 task<void> traffic_worker::closeListener() {
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -119,6 +119,8 @@
   /// Refuses the requests whose response has not begun, also those at a target.
   /// Thread-safe.
   void refuseRunningRequests();
+  /// Whether refuseRunningRequests() was carried out. Thread-safe.
+  bool hasRefusedRunningRequests() const { return HasRefusedRequests.load(); }
   /// Number of open caller connections. Thread-safe.
   std::size_t openConnections() const { return Connections.load(); }
 
@@ -225,6 +227,7 @@
   std::mt19937_64 Random{std::random_device{}()};
   std::atomic<std::size_t> Connections{0};
   std::atomic<bool> Accepting{true};
+  std::atomic<bool> HasRefusedRequests{false};
   std::unordered_set<tcp_stream *> IdleConnections;
   std::size_t RunningRejections = 0;
   bool IsShuttingDown = false;
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -21,6 +21,17 @@
 namespace {
 
 constexpr std::chrono::milliseconds DrainPollPeriod{50};
+/// The same while the traffic threads tell their last requests to end.
+constexpr std::chrono::milliseconds RefusalPollPeriod{5};
+
+/// Returns when a shutdown is looked at next after \p Now. \p End is empty
+/// until the last requests were refused.
+instant nextCheck(const shutdown_schedule &Schedule, std::optional<instant> End,
+                  instant Now) {
+  if (!End && Now >= Schedule.AnswersAt)
+    return Now + RefusalPollPeriod;
+  return std::min(Now + DrainPollPeriod, End.value_or(Schedule.AnswersAt));
+}
 
 asio::ip::tcp::endpoint endpointOf(const std::string &Address,
                                    std::uint16_t Port) {
@@ -89,6 +100,8 @@
   task<void> awaitCallers(const shutdown_schedule &Schedule);
   /// Ends what has reached its end in \p Schedule.
   void endRequests(const shutdown_schedule &Schedule, instant Now);
+  /// Whether all traffic threads have told their requests to end.
+  bool haveRefusedRequests() const;
   /// Whether callers have connections to this process, or may get some.
   bool hasCallers() const;
   std::size_t openConnections() const;
@@ -223,18 +236,23 @@
   }
 }
 
+bool node::impl::haveRefusedRequests() const {
+  return std::ranges::all_of(Workers, [](const auto &Worker) {
+    return Worker->hasRefusedRunningRequests();
+  });
+}
+
 task<void> node::impl::awaitCallers(const shutdown_schedule &Schedule) {
   asio::steady_timer Timer(Control.context());
   std::optional<instant> End;
   while (hasCallers()) {
     const instant Now = Timers.now();
     endRequests(Schedule, Now);
-    if (!End && Now >= Schedule.AnswersAt)
+    if (!End && haveRefusedRequests())
       End = endAfterRefusals(Schedule, Now);
-    if (End && Now >= *End)
+    if (Now >= End.value_or(Schedule.KilledAt))
       co_return;
-    const instant Due = End.value_or(Schedule.AnswersAt);
-    Timer.expires_after(std::min<duration>(DrainPollPeriod, Due - Now));
+    Timer.expires_after(nextCheck(Schedule, End, Now) - Now);
     co_await Timer.async_wait(UseTaskTuple);
   }
 }
@@ -245,15 +263,14 @@
                     .Name = Settings.Vm.str(),
                     .Cause = "shutdown requested",
                     .Rule = "finish running requests, then exit"});
-  const shutdown_schedule Schedule =
-      scheduleShutdown(SignalledAt, Settings.ShutdownLimit);
+  const shutdown_schedule Schedule = scheduleShutdown(
+      SignalledAt, Settings.ShutdownLimit,
+      visitControlPlane([](auto &Plane) { return Plane.addressLifetime(); }));
   for (const auto &Worker : Workers)
     Worker->beginLeaving(Schedule);
   visitControlPlane([](auto &Plane) { Plane.leave(); });
   asio::steady_timer Timer(Control.context());
-  Timer.expires_after(std::min(
-      visitControlPlane([](auto &Plane) { return Plane.addressLifetime(); }),
-      Settings.ShutdownLimit / 2));
+  Timer.expires_after(Schedule.AddressesEndAt - Timers.now());
   co_await Timer.async_wait(UseTaskTuple);
   for (const auto &Worker : Workers)
     Worker->beginShutdown();
