--- a/tests/model/fleet_model_test.cpp
+++ b/tests/model/fleet_model_test.cpp
@@ -166,3 +166,35 @@
   pass(LongSteps);
   CHECK(WindowsAboveLimit == 0);
 }
+
+namespace {
+
+/// Six VMs of which some are stopped and started again, without any fault.
+struct planned_restarts_fixture : large_fleet_fixture {
+  static constexpr std::size_t A3 = 4;
+
+  /// Passes \p Steps steps and then begins \p Changes in one more.
+  void after(unsigned Steps, const std::vector<fleet_change> &Changes) {
+    pass(Steps);
+    change(Changes);
+  }
+};
+
+} // namespace
+
+// Guards against limits that are exceeded when several VMs are stopped one
+// after the other and started again, while all messages arrive at once.
+TEST_CASE_FIXTURE(planned_restarts_fixture,
+                  "fleet_fourVmsRestartedInSixSeconds_noLimitExceeded") {
+  after(58, {leave_vm{A3}});
+  after(5, {leave_vm{B2}});
+  after(4, {leave_vm{A1}});
+  after(7, {start_vm{A3}});
+  after(0, {leave_vm{B1}});
+  after(0, {start_vm{B2}});
+  after(0, {start_vm{A1}});
+  after(6, {start_vm{B1}});
+  pass(LongSteps);
+  INFO(Model.describeAdmissions());
+  CHECK(WindowsAboveLimit == 0);
+}
