--- a/tests/integration/session_end_test.cpp
+++ b/tests/integration/session_end_test.cpp
@@ -9,14 +9,11 @@
 #include <thread>
 #include <vector>
 
-#include <sys/socket.h>
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 #include "support/caller_fixture.h"
 #include "support/faulty_target_fixture.h"
+#include "support/full_listener.h"
 #include "support/scripted_target.h"
 #include "support/store_fleet.h"
 
@@ -678,35 +675,6 @@
   checkEndedInOrder();
 }
 
-namespace {
-
-/// A listener whose backlog is full: connects to it neither succeed nor fail.
-class full_listener {
-public:
-  full_listener() {
-    Acceptor.open(boost::asio::ip::tcp::v4());
-    Acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
-    Acceptor.listen(0);
-    for (int Count = 0; Count < 4; ++Count) {
-      auto &Socket = Sockets.emplace_back(Loop);
-      Socket.open(boost::asio::ip::tcp::v4());
-      Socket.native_non_blocking(true);
-      // connect() of the socket would wait for the connection.
-      const auto Endpoint = Acceptor.local_endpoint();
-      ::connect(Socket.native_handle(), Endpoint.data(),
-                static_cast<socklen_t>(Endpoint.size()));
-    }
-  }
-  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
-
-private:
-  boost::asio::io_context Loop;
-  boost::asio::ip::tcp::acceptor Acceptor{Loop};
-  std::vector<boost::asio::ip::tcp::socket> Sockets;
-};
-
-} // namespace
-
 // Guards against a request that is not told of the end while it connects to a
 // target, and is cut off without an answer.
 TEST_CASE_FIXTURE(scripted_pair_fixture,
