Let the hosts of a data centre divide its targets among themselves

What callers saw: requests waited in the queue of a full target, or were turned away there, while other targets were idle. Cause: all VMs compute the same cheapest target from the same reports, which are a little old, and send their requests there together. Change: with four or more hosts, each prefers targets of its own while one has a free slot and seems sound, and otherwise compares these with a few random ones. The division follows from the list of hosts, so nothing more is exchanged. A report of load counts no longer than requests take there. Unrepeatable requests leave trials of doubtful targets to repeatable ones. What is known of a target is looked up when the targets change, not in each choice.

--- a/src/coordination/load_balancing/internal/load_balancer.cpp
+++ b/src/coordination/load_balancing/internal/load_balancer.cpp
@@ -8,117 +8,40 @@
 
 namespace {
 
-constexpr double BytesPerKilobyte = 1'000;
 /// Absorbs rounding where a share of the targets should be a whole number.
 constexpr double RoundingError = 1e-6;
 
-/// Returns a pseudo-random number from 0 to 1 for each pair of random bits and
-/// target.
-double jitter(std::uint64_t Random, std::size_t TargetHash) {
-  constexpr std::uint64_t Multiplier = 0x9E3779B97F4A7C15U;
-  const std::uint64_t Mixed = (Random ^ (TargetHash * Multiplier)) * Multiplier;
-  return static_cast<double>(Mixed >> 11U) * 0x1.0p-53;
-}
-
 bool contains(std::span<const target_name> Names, const target_name &Name) {
   return std::ranges::find(Names, Name) != Names.end();
 }
 
 } // namespace
 
-load_balancer::known_target &
-load_balancer::getOrCreate(const target_name &Name) {
+target_estimate &load_balancer::getOrCreate(const target_name &Name) {
   return Targets.try_emplace(Name, Episodes).first->second;
 }
 
-double load_balancer::faultProbabilityOf(const known_target &Known,
-                                         instant Now) const {
-  double Odds = 1;
-  for (const running_attempt &Each : Known.Running)
-    if (Each.TypicalLatency > duration{0} &&
-        Now - Each.StartedAt > Each.TypicalLatency * Episodes.OverdueFactor)
-      Odds *= Episodes.OverdueOdds;
-  const double Weighted = Known.Estimator.faultProbability(Now) * Odds;
-  return Weighted / (Weighted + 1 - Known.Estimator.faultProbability(Now));
+const target_estimate *load_balancer::find(const target_name &Name) const {
+  const auto Found = Targets.find(Name);
+  return Found == Targets.end() ? nullptr : &Found->second;
 }
 
 double load_balancer::faultProbability(const target_name &Target,
                                        instant Now) const {
-  const auto Found = Targets.find(Target);
-  return Found == Targets.end() ? Episodes.InitialFaultProbability
-                                : faultProbabilityOf(Found->second, Now);
-}
-
-double load_balancer::othersRunningAt(const known_target &Known,
-                                      instant Now) const {
-  const double Age = std::chrono::duration<double>(Now - Known.LoadReportedAt) /
-                     std::chrono::duration<double>(Costs.LoadDecayTime);
-  return Known.OthersRunning * std::exp(-std::max(Age, 0.0));
+  const target_estimate *Known = find(Target);
+  return Known ? Known->faultProbability(Now)
+               : Episodes.InitialFaultProbability;
 }
 
 void load_balancer::noteLoad(const target_name &Target,
                              const reported_load &Load, instant Now) {
-  if (Load.Slots == 0)
-    return;
-  known_target &Known = getOrCreate(Target);
-  const auto Total = static_cast<double>(Load.Running + Load.Waiting);
-  Known.OthersRunning =
-      std::max(0.0, Total - static_cast<double>(Known.Running.size()));
-  Known.LoadReportedAt = Now;
-}
-
-double load_balancer::loadCost(double Own, double Others, double Slots) const {
-  const double Capacity = std::max(Slots, 1.0);
-  const double Load = std::min((Own + 1) / Capacity, 1.0);
-  // Few requests of others do not lower the cost: others may avoid the target.
-  const double Excess = std::max((Own + Others + 1) / Capacity - 1, 0.0);
-  return Costs.FullLoadCost * Load * Load + Costs.OverloadCost * Excess;
-}
-
-double load_balancer::costOf(const target &Target,
-                             const request_traits &Request,
-                             const choice_context &Context) const {
-  double FaultProbability = Episodes.InitialFaultProbability;
-  double Own = 0;
-  double Others = 0;
-  double SlownessCost = 0;
-  double Unobserved = 0;
-  if (const auto Found = Targets.find(Target.Name); Found != Targets.end()) {
-    FaultProbability = faultProbabilityOf(Found->second, Context.Now);
-    Own = static_cast<double>(Found->second.Running.size());
-    Others = othersRunningAt(Found->second, Context.Now);
-    SlownessCost = std::clamp((Found->second.Estimator.latencyRatio() - 1) *
-                                  Costs.SlownessCost,
-                              0.0, Costs.MaxSlownessCost);
-    Unobserved = std::min(
-        1.0, std::chrono::duration<double>(
-                 Found->second.Estimator.timeSinceObservation(Context.Now)) /
-                 std::chrono::duration<double>(Costs.FullExplorationAfter));
-  }
-  const double FailureProbability =
-      FaultProbability * Episodes.FailureShareWhenFailing;
-  double Cost = Request.IsRepeatable
-                    ? FailureProbability * Costs.RepeatableFactor
-                    : FailureProbability;
-  Cost += SlownessCost - Costs.ExplorationBonus * Unobserved +
-          loadCost(Own, Others, Target.Slots);
-  if (Target.DataCenter != Context.DataCenter)
-    Cost += Costs.CrossDataCenterCost +
-            Costs.CrossDataCenterCostPerKilobyte *
-                static_cast<double>(Request.ExpectedBytes) / BytesPerKilobyte;
-  return Cost + Costs.MaxJitter * jitter(Context.Random,
-                                         std::hash<target_name>{}(Target.Name));
-}
-
-const load_balancer::known_target *
-load_balancer::find(const target_name &Name) const {
-  const auto Found = Targets.find(Name);
-  return Found == Targets.end() ? nullptr : &Found->second;
+  if (Load.Slots > 0)
+    getOrCreate(Target).noteLoad(Load, Now);
 }
 
 bool load_balancer::isRecentlyUsed(const target &Target, instant Now) const {
-  const known_target *Known = find(Target.Name);
-  return Known && Now - Known->LastUsedAt < Floor.Period;
+  const target_estimate *Known = find(Target.Name);
+  return Known && Known->isUsedWithin(Floor.Period, Now);
 }
 
 bool load_balancer::isFailureShareHigh(std::span<const target> Candidates,
@@ -126,11 +49,11 @@
   double Attempts = Floor.AssumedSuccesses;
   double Failures = 0;
   for (const target &Each : Candidates) {
-    const known_target *Known = find(Each.Name);
+    const target_estimate *Known = find(Each.Name);
     if (!Known || Each.DataCenter != Context.DataCenter)
       continue;
-    Attempts += Known->RecentAttempts.attempts(Context.Now);
-    Failures += Known->RecentAttempts.failures(Context.Now);
+    Attempts += Known->recentAttempts().attempts(Context.Now);
+    Failures += Known->recentAttempts().failures(Context.Now);
   }
   return Failures > Attempts * Floor.HighFailureShare;
 }
@@ -169,30 +92,62 @@
     if (UnusedOnly && (Each.DataCenter != Context.DataCenter ||
                        isRecentlyUsed(Each, Context.Now)))
       continue;
-    const double Cost = costOf(Each, Request, Context);
-    if (Cost >= MinCost)
+    const double EachCost = Cost.of(Each, find(Each.Name), Request, Context);
+    if (EachCost >= MinCost)
       continue;
-    MinCost = Cost;
+    MinCost = EachCost;
     Best = &Each;
   }
   return Best;
 }
 
 load_balancer_choice
-load_balancer::choose(std::span<const target> Candidates,
-                      const request_traits &Request,
-                      const choice_context &Context) const {
+load_balancer::chooseAmongAll(std::span<const target> Candidates,
+                              const request_traits &Request,
+                              const choice_context &Context) const {
   if (isBelowFloor(Candidates, Context))
     if (const target *Unused = cheapest(Candidates, Request, Context, true))
       return {.Target = Unused, .IsForFloor = true};
   return {.Target = cheapest(Candidates, Request, Context, false)};
 }
 
+void load_balancer::divide(std::span<const std::span<const target>> Services,
+                           const dividing_hosts &Hosts) {
+  Tables.clear();
+  Own.reset();
+  if (Hosts.Hosts.size() < Subsets.MinHosts)
+    return;
+  Own.emplace();
+  for (const std::span<const target> Each : Services)
+    addOwnTargets(Each, Hosts, *Own);
+}
+
+candidate_table &load_balancer::tableOf(std::span<const target> Candidates,
+                                        const data_center_name &DataCenter) {
+  const auto Found = Tables.find(Candidates.data());
+  if (Found != Tables.end())
+    return Found->second;
+  std::vector<candidate> Known;
+  Known.reserve(Candidates.size());
+  for (const target &Each : Candidates)
+    Known.push_back({.Target = &Each, .Known = &getOrCreate(Each.Name)});
+  return Tables.try_emplace(Candidates.data(), Known, *Own, DataCenter)
+      .first->second;
+}
+
+load_balancer_choice load_balancer::choose(std::span<const target> Candidates,
+                                           const request_traits &Request,
+                                           const choice_context &Context) {
+  if (!Own || Candidates.empty())
+    return chooseAmongAll(Candidates, Request, Context);
+  return tableOf(Candidates, Context.DataCenter)
+      .choose(Request, Context,
+              {.Subsets = Subsets, .Floor = Floor, .Cost = SubsetCost});
+}
+
 std::uint64_t load_balancer::begin(const target_name &Target, instant Now,
                                    duration TypicalLatency) {
-  known_target &Known = getOrCreate(Target);
-  Known.LastUsedAt = Now;
-  Known.Running.push_back(
+  getOrCreate(Target).begin(
       {.Id = ++LastId, .StartedAt = Now, .TypicalLatency = TypicalLatency});
   return LastId;
 }
@@ -200,27 +155,19 @@
 void load_balancer::end(const target_name &Target, std::uint64_t Id,
                         attempt_end End, std::optional<double> LatencyRatio,
                         instant Now) {
-  known_target &Known = getOrCreate(Target);
-  std::erase_if(Known.Running,
-                [Id](const running_attempt &Each) { return Each.Id == Id; });
-  Known.Estimator.note(End, Now);
-  Known.RecentAttempts.note(End, Now);
-  if (LatencyRatio)
-    Known.Estimator.noteLatencyRatio(*LatencyRatio);
+  getOrCreate(Target).end(Id, End, LatencyRatio, Now);
 }
 
 void load_balancer::recordPeerAttempt(const target_name &Target,
                                       attempt_end End, instant Now) {
-  known_target &Known = getOrCreate(Target);
-  Known.LastUsedAt = Now;
-  Known.Estimator.note(End, Now);
-  Known.RecentAttempts.note(End, Now);
+  getOrCreate(Target).recordPeerAttempt(End, Now);
 }
 
 void load_balancer::retain(std::span<const target_name> Retained) {
+  Tables.clear();
+  const std::unordered_set<target_name> Kept(Retained.begin(), Retained.end());
   std::erase_if(Targets, [&](const auto &Each) {
-    return Each.second.Running.empty() &&
-           std::ranges::find(Retained, Each.first) == Retained.end();
+    return !Each.second.isRunning() && !Kept.contains(Each.first);
   });
 }
 
--- a/src/coordination/load_balancing/load_balancer.h
+++ b/src/coordination/load_balancing/load_balancer.h
@@ -3,62 +3,48 @@
 /// peers.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/load_balancing/attempt_counts.h"
-#include "coordination/load_balancing/fault_episode_estimator.h"
+#include "coordination/load_balancing/candidate_table.h"
+#include "coordination/load_balancing/target_cost.h"
+#include "coordination/load_balancing/target_estimate.h"
+#include "coordination/load_balancing/target_subsets.h"
+#include "coordination/load_balancing/types/choice.h"
+#include "coordination/load_balancing/types/load_balancer_options.h"
 #include "coordination/load_balancing/types/reported_load.h"
-#include "state/configuration/types/fleet_configuration.h"
 
 namespace peridot {
 
-/// Properties of a request that affect the choice.
-struct request_traits {
-  bool IsRepeatable = false;
-  /// Bytes that the request and its response are expected to transfer.
-  std::size_t ExpectedBytes = 0;
-  std::span<const target_name> Tried; ///< Not chosen again.
-  /// Targets that asked for a pause; not chosen, not even for the floor.
-  std::span<const target_name> Paused;
-};
-
-/// Result of a choice.
-struct load_balancer_choice {
-  const target *Target = nullptr; ///< Null: all were tried or are paused.
-  /// Whether the target was chosen because too few targets are in use.
-  bool IsForFloor = false;
-};
-
-/// Circumstances of one choice.
-struct choice_context {
-  data_center_name DataCenter; ///< Of this VM.
-  instant Now{};
-  /// Uniformly distributed random bits.
-  std::uint64_t Random = 0;
-};
-
-/// A running request at a target.
-struct running_attempt {
-  std::uint64_t Id = 0;
-  instant StartedAt{};
-  duration TypicalLatency{0}; ///< Zero: unknown.
-};
-
 /// Tracks the targets that one traffic thread uses; not thread-safe.
 class load_balancer {
 public:
   explicit load_balancer(const load_balancer_settings &Settings = {})
-      : Costs(Settings.Costs), Episodes(Settings.Episodes),
-        Floor(Settings.Floor) {}
-
-  /// Returns the target with the lowest expected cost; while too few targets
-  /// are in use, the cheapest of the unused ones.
+      : Episodes(Settings.Episodes), Floor(Settings.Floor),
+        Subsets(Settings.Subsets),
+        Cost(Settings.Costs, Settings.Episodes, load_aging::Fixed),
+        SubsetCost(Settings.Costs, Settings.Episodes, load_aging::ByLatency) {}
+
+  /// Replaces this VM's part of the targets of its data centre, after the hosts
+  /// or the targets have changed. While there are too few hosts for a division,
+  /// \p Services are not looked at.
+  void divide(std::span<const std::span<const target>> Services,
+              const dividing_hosts &Hosts);
+  /// Returns the number of targets that this VM prefers; empty without a
+  /// division.
+  std::optional<std::size_t> ownTargetCount() const {
+    return Own ? std::optional(Own->size()) : std::nullopt;
+  }
+
+  /// Returns the target with the lowest expected cost, of all or, with a
+  /// division, of a few; while too few targets are in use, the cheapest of the
+  /// unused ones. \p Targets must not change before the next divide().
   load_balancer_choice choose(std::span<const target> Targets,
                               const request_traits &Request,
-                              const choice_context &Context) const;
+                              const choice_context &Context);
 
   /// Records the start of a request at a target. \returns its id.
   std::uint64_t begin(const target_name &Target, instant Now,
@@ -83,27 +69,6 @@
   void retain(std::span<const target_name> Targets);
 
 private:
-  struct known_target {
-    explicit known_target(const fault_episode_options &Episodes)
-        : Estimator(Episodes) {}
-
-    fault_episode_estimator Estimator;
-    attempt_counts RecentAttempts;
-    std::vector<running_attempt> Running;
-    /// When this VM or a peer was last seen to use the target.
-    instant LastUsedAt{};
-    /// Requests of others when the target last reported its load.
-    double OthersRunning = 0;
-    instant LoadReportedAt{};
-  };
-
-  double faultProbabilityOf(const known_target &Known, instant Now) const;
-  double costOf(const target &Target, const request_traits &Request,
-                const choice_context &Context) const;
-  /// Estimated number of requests of others at a target, which decays after
-  /// each load report.
-  double othersRunningAt(const known_target &Known, instant Now) const;
-  double loadCost(double Own, double Others, double Slots) const;
   bool isRecentlyUsed(const target &Target, instant Now) const;
   /// Whether many attempts at the targets of this data centre fail.
   bool isFailureShareHigh(std::span<const target> Targets,
@@ -116,13 +81,24 @@
   const target *cheapest(std::span<const target> Targets,
                          const request_traits &Request,
                          const choice_context &Context, bool UnusedOnly) const;
-  known_target &getOrCreate(const target_name &Name);
-  const known_target *find(const target_name &Name) const;
+  /// Chooses among all targets.
+  load_balancer_choice chooseAmongAll(std::span<const target> Targets,
+                                      const request_traits &Request,
+                                      const choice_context &Context) const;
+  candidate_table &tableOf(std::span<const target> Targets,
+                           const data_center_name &DataCenter);
+  target_estimate &getOrCreate(const target_name &Name);
+  const target_estimate *find(const target_name &Name) const;
 
-  target_cost_options Costs;
   fault_episode_options Episodes;
   floor_options Floor;
-  std::unordered_map<target_name, known_target> Targets;
+  subset_options Subsets;
+  target_cost Cost;       ///< For choices among all targets.
+  target_cost SubsetCost; ///< For choices with a division.
+  std::unordered_map<target_name, target_estimate> Targets;
+  std::optional<target_subset> Own; ///< Empty: no division.
+  /// By the first target of a service; refer to Targets.
+  std::unordered_map<const target *, candidate_table> Tables;
   std::uint64_t LastId = 0;
 };
 
--- a/src/coordination/load_balancing/types/load_balancer_options.h
+++ b/src/coordination/load_balancing/types/load_balancer_options.h
@@ -52,6 +52,30 @@
   duration FullExplorationAfter = std::chrono::seconds(15);
   /// Maximum random cost; spreads requests over equal choices.
   double MaxJitter = 0.03;
+  /// Maximum fault probability and latency, relative to the typical one, of a
+  /// target that is used without a comparison with those of other VMs.
+  double MaxSoundFaultProbability = 0.25;
+  double MaxSoundLatencyRatio = 2;
+};
+
+/// Division of a data centre's targets among its hosts. What is compared in a
+/// choice does not grow with the number of targets.
+struct subset_options {
+  /// With fewer hosts, each chooses among all targets: they rarely choose the
+  /// same one, and few hosts know more of each target.
+  std::size_t MinHosts = 4;
+  /// Maximum numbers of targets that are compared in one choice: own ones,
+  /// others of this data centre, and those of other data centres.
+  std::size_t MaxOwnCompared = 8;
+  std::size_t MaxLocalCompared = 3;
+  std::size_t MaxRemoteCompared = 2;
+  /// Time after which the targets in use are counted again.
+  duration FloorPeriod = std::chrono::milliseconds(50);
+  /// Unrepeatable requests do not try doubtful targets if at least this
+  /// fraction of the service's requests is repeatable.
+  double MinRepeatableShare = 0.15;
+  /// Weight of the latest request in that fraction.
+  double RepeatableShareWeight = 0.05;
 };
 
 /// Fraction of a service's targets that stays in use. Counts the targets that
@@ -77,6 +101,7 @@
   target_cost_options Costs;
   fault_episode_options Episodes;
   floor_options Floor;
+  subset_options Subsets;
 };
 
 } // namespace peridot
--- a/src/coordination/routing/types/routing_snapshot.h
+++ b/src/coordination/routing/types/routing_snapshot.h
@@ -44,6 +44,8 @@
   std::unordered_map<target_name, target_condition> Conditions;
   /// VMs that accept new callers, in no particular order.
   std::vector<vm_address> Vms;
+  /// Hosts of this VM's data centre, sorted by name; null: unknown.
+  std::shared_ptr<const std::vector<vm_name>> LocalHosts;
   /// Whether keys are fresh. If not, this VM may not know of a revoked key.
   bool KeysAreFresh = false;
   /// Whether this VM is leaving the fleet.
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -99,12 +99,37 @@
 
 void traffic_worker::publish(snapshot_ptr Published) {
   asio::post(Loop.context(), [this, Next = std::move(Published)]() mutable {
-    if (Snapshot->RegisteredTargets != Next->RegisteredTargets)
+    const bool HasNewTargets =
+        Snapshot->RegisteredTargets != Next->RegisteredTargets;
+    if (HasNewTargets)
       dropUnregisteredTargets(*Next);
+    if (HasNewTargets || Snapshot->LocalHosts != Next->LocalHosts)
+      divideTargets(*Next);
     Snapshot = std::move(Next);
   });
 }
 
+void traffic_worker::divideTargets(const routing_snapshot &Next) {
+  if (!LoadBalancer)
+    return;
+  std::vector<std::span<const target>> Services;
+  if (Next.RegisteredTargets)
+    for (const auto &[Service, Registered] : *Next.RegisteredTargets)
+      Services.emplace_back(Registered);
+  dividing_hosts Hosts{.DataCenter = Options.DataCenter, .Self = Options.Vm};
+  if (Next.LocalHosts)
+    Hosts.Hosts = *Next.LocalHosts;
+  LoadBalancer->divide(Services, Hosts);
+  const auto OwnCount = LoadBalancer->ownTargetCount();
+  if (OwnCount == OwnTargetCount)
+    return;
+  OwnTargetCount = OwnCount;
+  logEvent(log_level::Info, "targets-divided",
+           {{"divided", OwnCount.has_value()},
+            {"own", static_cast<std::int64_t>(OwnCount.value_or(0))},
+            {"hosts", static_cast<std::int64_t>(Hosts.Hosts.size())}});
+}
+
 void traffic_worker::dropUnregisteredTargets(const routing_snapshot &Next) {
   std::vector<target_name> Names;
   if (Next.RegisteredTargets)
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -37,6 +37,7 @@
 /// Settings of one traffic thread.
 struct traffic_options {
   boost::asio::ip::tcp::endpoint Listen;
+  vm_name Vm; ///< This VM.
   data_center_name DataCenter;
   std::size_t MaxConnections = 10'000; ///< Maximum caller connections.
   std::chrono::milliseconds AddressTimeToLive{10'000};
@@ -205,6 +206,8 @@
   void logUnusablePause(const target &Target, std::string_view RequestId);
   /// Drops connections and statistics of targets that are not in \p Next.
   void dropUnregisteredTargets(const routing_snapshot &Next);
+  /// Divides the targets in \p Next among the hosts of this data centre.
+  void divideTargets(const routing_snapshot &Next);
 
   traffic_options Options;
   metrics_registry &Metrics;
@@ -213,6 +216,7 @@
   snapshot_ptr Snapshot = std::make_shared<routing_snapshot>();
   target_pool Targets;
   std::optional<load_balancer> LoadBalancer;
+  std::optional<std::size_t> OwnTargetCount; ///< As last logged.
   target_pauses Pauses;
   /// Targets whose unusable requests for a pause were logged.
   std::unordered_set<target_name> LoggedUnusablePauses;
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -137,7 +137,23 @@
             {"version", std::int64_t{Effect.Version}}});
 }
 
+void hosting_driver::publishLocalHosts(instant Now) {
+  std::vector<vm_name> Hosts;
+  for (const registered_vm &Vm :
+       Election.hosts(Services.Settings.DataCenter, Now))
+    Hosts.push_back(Vm.Vm);
+  std::ranges::sort(Hosts);
+  const auto &Published = Services.Snapshots.current().LocalHosts;
+  if (Published && *Published == Hosts)
+    return;
+  const auto Next =
+      std::make_shared<const std::vector<vm_name>>(std::move(Hosts));
+  Services.Snapshots.update(
+      [&](routing_snapshot &Snapshot) { Snapshot.LocalHosts = Next; });
+}
+
 void hosting_driver::updateHosting(instant Now) {
+  publishLocalHosts(Now);
   const bool IsHostNow = Election.isSelfHost(Now);
   if (IsHostNow == IsHost)
     return;
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -57,6 +57,8 @@
   void perform(const contradictory_report &Effect);
   /// Updates IsHost and records a change of it.
   void updateHosting(instant Now);
+  /// Publishes the hosts of this data centre to the traffic threads.
+  void publishLocalHosts(instant Now);
   /// Identifies the limits in force and the tolerance.
   std::uint64_t limitsHash();
   /// Divides the fleet's retry budget among hosts and traffic threads.
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -62,6 +62,7 @@
 traffic_options trafficOptions(const node_settings &Settings) {
   traffic_options Options{
       .Listen = endpointOf(Settings.ListenAddress, Settings.CallerPort),
+      .Vm = Settings.Vm,
       .DataCenter = Settings.DataCenter,
       .AddressTimeToLive = Settings.AddressTimeToLive};
   if (Settings.Adapter) {
