--- a/src/coordination/load_balancing/internal/candidate_table.cpp
+++ b/src/coordination/load_balancing/internal/candidate_table.cpp
@@ -63,7 +63,11 @@
 
 void candidate_table::updateFloor(instant Now,
                                   const candidate_table_options &Options) {
-  if (Now - FloorCountedAt < Options.Subsets.FloorPeriod)
+  const auto LocalCount = static_cast<duration::rep>(Own.size() + Local.size());
+  const duration Period =
+      std::max(Options.Subsets.MinFloorPeriod,
+               Options.Subsets.FloorPeriodPerTarget * LocalCount);
+  if (Now - FloorCountedAt < Period)
     return;
   FloorCountedAt = Now;
   const floor_options &Floor = Options.Floor;
--- a/src/coordination/load_balancing/types/load_balancer_options.h
+++ b/src/coordination/load_balancing/types/load_balancer_options.h
@@ -69,8 +69,10 @@
   std::size_t MaxOwnCompared = 8;
   std::size_t MaxLocalCompared = 3;
   std::size_t MaxRemoteCompared = 2;
-  /// Time after which the targets in use are counted again.
-  duration FloorPeriod = std::chrono::milliseconds(50);
+  /// Time after which the targets in use are counted again. Longer with many
+  /// targets, so that counting takes a fixed part of the processor time.
+  duration MinFloorPeriod = std::chrono::milliseconds(50);
+  duration FloorPeriodPerTarget = std::chrono::microseconds(300);
   /// Unrepeatable requests do not try doubtful targets if at least this
   /// fraction of the service's requests is repeatable.
   double MinRepeatableShare = 0.15;
