Spare unrepeatable requests and last attempts the trials of targets

What callers saw: 500s of targets in short fault episodes, most of them in the first seconds after a start, and second attempts that failed like the first. Cause: a choice for the floor, and the bonus of targets that nobody used lately, took any request, also one that cannot be sent again. The second and last attempt of a repeatable request counted as repeatable. Failed trials raised the failure share that calls for more trials. Change: where enough requests of a service are repeatable, only these try targets. A request counts as repeatable while another attempt is allowed and paid for. With divided targets, attempts at targets that were known to fail do not count in the failure share, and eight others are compared before those of other data centres.

--- a/src/coordination/load_balancing/candidate_table.h
+++ b/src/coordination/load_balancing/candidate_table.h
@@ -34,7 +34,8 @@
                   const target_subset &Own, const data_center_name &DataCenter);
 
   /// Returns an own target if it has a free slot and seems sound. Otherwise
-  /// returns the cheapest of the own targets and a few random ones.
+  /// returns the cheapest of the own targets and a few random ones. While too
+  /// few targets are in use, returns an unused one.
   load_balancer_choice choose(const request_traits &Request,
                               const choice_context &Context,
                               const candidate_table_options &Options);
@@ -67,7 +68,6 @@
   /// Targets to use for the floor; empty while enough are in use.
   candidates UnusedOwn;
   candidates UnusedLocal;
-  double RepeatableShare = 0; ///< Moving average over requests.
 };
 
 } // namespace peridot
--- a/src/coordination/load_balancing/internal/candidate_table.cpp
+++ b/src/coordination/load_balancing/internal/candidate_table.cpp
@@ -75,8 +75,8 @@
   double Failures = 0;
   for (const candidates *Group : {&Own, &Local})
     for (const candidate &Each : *Group) {
-      Attempts += Each.Known->recentAttempts().attempts(Now);
-      Failures += Each.Known->recentAttempts().failures(Now);
+      Attempts += Each.Known->recentSoundAttempts().attempts(Now);
+      Failures += Each.Known->recentSoundAttempts().failures(Now);
     }
   const bool IsFailureShareHigh = Failures > Attempts * Floor.HighFailureShare;
   const double MaxFaultProbability =
@@ -132,27 +132,26 @@
                         const choice_context &Context,
                         const candidate_table_options &Options) {
   const subset_options &Subsets = Options.Subsets;
-  RepeatableShare += Subsets.RepeatableShareWeight *
-                     ((Request.IsRepeatable ? 1 : 0) - RepeatableShare);
-  request_traits Traits = Request;
-  Traits.LeavesTrialsToOthers =
-      !Request.IsRepeatable && RepeatableShare >= Subsets.MinRepeatableShare;
-  if (const target *Unused = chooseUnused(Traits, Context, Options))
+  if (const target *Unused = chooseUnused(Request, Context, Options))
     return {.Target = Unused, .IsForFloor = true};
   priced_candidate Best;
-  compare(Best, Own, Subsets.MaxOwnCompared, Traits, Context, Options.Cost);
-  if (Best.Candidate &&
-      Options.Cost.isFreeAndSound(*Best.Candidate->Target,
-                                  *Best.Candidate->Known, Context.Now))
-    return {.Target = Best.Candidate->Target};
-  compare(Best, Local, Subsets.MaxLocalCompared, Traits, Context, Options.Cost);
-  compare(Best, Remote, Subsets.MaxRemoteCompared, Traits, Context,
-          Options.Cost);
+  const auto IsFreeAndSound = [&] {
+    return Best.Candidate &&
+           Options.Cost.isFreeAndSound(*Best.Candidate->Target,
+                                       *Best.Candidate->Known, Context.Now);
+  };
+  compare(Best, Own, Subsets.MaxOwnCompared, Request, Context, Options.Cost);
+  if (!IsFreeAndSound())
+    compare(Best, Local, Subsets.MaxLocalCompared, Request, Context,
+            Options.Cost);
+  if (!IsFreeAndSound())
+    compare(Best, Remote, Subsets.MaxRemoteCompared, Request, Context,
+            Options.Cost);
   if (Best.Candidate)
     return {.Target = Best.Candidate->Target};
   // The sample had only targets that were tried or are paused.
   for (const candidates *Group : {&Own, &Local, &Remote})
-    compare(Best, *Group, Group->size(), Traits, Context, Options.Cost);
+    compare(Best, *Group, Group->size(), Request, Context, Options.Cost);
   return {.Target = Best.Candidate ? Best.Candidate->Target : nullptr};
 }
 
--- a/src/coordination/load_balancing/internal/load_balancer.cpp
+++ b/src/coordination/load_balancing/internal/load_balancer.cpp
@@ -105,7 +105,7 @@
 load_balancer::chooseAmongAll(std::span<const target> Candidates,
                               const request_traits &Request,
                               const choice_context &Context) const {
-  if (isBelowFloor(Candidates, Context))
+  if (!Request.LeavesTrialsToOthers && isBelowFloor(Candidates, Context))
     if (const target *Unused = cheapest(Candidates, Request, Context, true))
       return {.Target = Unused, .IsForFloor = true};
   return {.Target = cheapest(Candidates, Request, Context, false)};
@@ -135,13 +135,27 @@
       .first->second;
 }
 
+bool load_balancer::leavesTrialsToOthers(const request_traits &Request) {
+  auto Share = RepeatableShares.find(Request.Service);
+  if (Share == RepeatableShares.end())
+    Share = RepeatableShares
+                .emplace(Request.Service, Subsets.InitialRepeatableShare)
+                .first;
+  if (Request.Tried.empty())
+    Share->second += Subsets.RepeatableShareWeight *
+                     ((Request.IsRepeatable ? 1 : 0) - Share->second);
+  return !Request.IsRepeatable && Share->second >= Subsets.MinRepeatableShare;
+}
+
 load_balancer_choice load_balancer::choose(std::span<const target> Candidates,
                                            const request_traits &Request,
                                            const choice_context &Context) {
+  request_traits Traits = Request;
+  Traits.LeavesTrialsToOthers = leavesTrialsToOthers(Request);
   if (!Own || Candidates.empty())
-    return chooseAmongAll(Candidates, Request, Context);
+    return chooseAmongAll(Candidates, Traits, Context);
   return tableOf(Candidates, Context.DataCenter)
-      .choose(Request, Context,
+      .choose(Traits, Context,
               {.Subsets = Subsets, .Floor = Floor, .Cost = SubsetCost});
 }
 
--- a/src/coordination/load_balancing/internal/target_estimate.cpp
+++ b/src/coordination/load_balancing/internal/target_estimate.cpp
@@ -5,6 +5,13 @@
 
 namespace peridot {
 
+namespace {
+
+/// Fault probability above which a target counts as failing.
+constexpr double MaxSoundFaultProbability = 0.5;
+
+} // namespace
+
 void target_estimate::begin(const running_attempt &Attempt) {
   LastUsedAt = Attempt.StartedAt;
   if (Attempt.TypicalLatency > duration{0})
@@ -13,6 +20,8 @@
 }
 
 void target_estimate::noteEnd(attempt_end End, instant Now) {
+  if (Estimator.faultProbability(Now) <= MaxSoundFaultProbability)
+    RecentSoundAttempts.note(End, Now);
   Estimator.note(End, Now);
   RecentAttempts.note(End, Now);
 }
--- a/src/coordination/load_balancing/load_balancer.h
+++ b/src/coordination/load_balancing/load_balancer.h
@@ -3,9 +3,10 @@
 /// peers.
 #pragma once
 
-#include <memory>
+#include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -85,6 +86,9 @@
   load_balancer_choice chooseAmongAll(std::span<const target> Targets,
                                       const request_traits &Request,
                                       const choice_context &Context) const;
+  /// Whether the request leaves trials of targets to repeatable requests of its
+  /// service. Counts the request.
+  bool leavesTrialsToOthers(const request_traits &Request);
   candidate_table &tableOf(std::span<const target> Targets,
                            const data_center_name &DataCenter);
   target_estimate &getOrCreate(const target_name &Name);
@@ -99,6 +103,8 @@
   std::optional<target_subset> Own; ///< Empty: no division.
   /// By the first target of a service; refer to Targets.
   std::unordered_map<const target *, candidate_table> Tables;
+  /// Fraction of the first attempts that can be repeated, by service.
+  std::map<std::string, double, std::less<>> RepeatableShares;
   std::uint64_t LastId = 0;
 };
 
--- a/src/coordination/load_balancing/target_estimate.h
+++ b/src/coordination/load_balancing/target_estimate.h
@@ -56,6 +56,12 @@
     return Now - LastUsedAt < Period;
   }
   const attempt_counts &recentAttempts() const { return RecentAttempts; }
+  /// Returns the attempts that were made while the target did not seem to fail.
+  /// Trials of failing targets are not among them, so that they do not call for
+  /// more trials.
+  const attempt_counts &recentSoundAttempts() const {
+    return RecentSoundAttempts;
+  }
 
 private:
   void noteEnd(attempt_end End, instant Now);
@@ -63,6 +69,7 @@
   fault_episode_options Episodes;
   fault_episode_estimator Estimator;
   attempt_counts RecentAttempts;
+  attempt_counts RecentSoundAttempts;
   std::vector<running_attempt> Running;
   instant LastUsedAt{};
   /// Requests of others when the target last reported its load.
--- a/src/coordination/load_balancing/types/choice.h
+++ b/src/coordination/load_balancing/types/choice.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include "state/base/types/instant.h"
 #include "state/configuration/types/fleet_configuration.h"
@@ -12,6 +13,9 @@
 
 /// Properties of a request that affect the choice.
 struct request_traits {
+  /// Service of the request; groups the requests that share trials.
+  std::string_view Service;
+  /// Whether the request can be sent to another target if this attempt fails.
   bool IsRepeatable = false;
   /// Bytes that the request and its response are expected to transfer.
   std::size_t ExpectedBytes = 0;
--- a/src/coordination/load_balancing/types/load_balancer_options.h
+++ b/src/coordination/load_balancing/types/load_balancer_options.h
@@ -67,7 +67,7 @@
   /// Maximum numbers of targets that are compared in one choice: own ones,
   /// others of this data centre, and those of other data centres.
   std::size_t MaxOwnCompared = 8;
-  std::size_t MaxLocalCompared = 3;
+  std::size_t MaxLocalCompared = 8;
   std::size_t MaxRemoteCompared = 2;
   /// Time after which the targets in use are counted again. Longer with many
   /// targets, so that counting takes a fixed part of the processor time.
@@ -76,6 +76,8 @@
   /// Unrepeatable requests do not try doubtful targets if at least this
   /// fraction of the service's requests is repeatable.
   double MinRepeatableShare = 0.15;
+  /// The fraction that is assumed of a service without requests.
+  double InitialRepeatableShare = 0.3;
   /// Weight of the latest request in that fraction.
   double RepeatableShareWeight = 0.05;
 };
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -109,7 +109,7 @@
          FailedConnects < MaxFailedConnects) {
     // Targets may have been removed since the request was received.
     const snapshot_ptr Snapshot = Worker.snapshot();
-    const target *Target = choose(Admitted, *Snapshot);
+    const target *Target = choose(Admitted, *Snapshot, Retries);
     if (!Target)
       break;
     RetryTime = retryTime(*Admitted.Route, Retries);
@@ -217,9 +217,8 @@
                          const retry_budget &Retries) const {
   const duration TypicalLatency =
       Worker.routeStatistics().typicalLatency(Route);
-  if (isLeaving() || !Route.IsRepeatable ||
-      ConnectedAttempts + 1 >= Route.MaxAttempts || !Retries.hasRetry() ||
-      !Request.is_done() || TypicalLatency == duration{0})
+  if (isLeaving() || !mayRetry(Route, Retries) || !Request.is_done() ||
+      TypicalLatency == duration{0})
     return std::nullopt;
   const auto ResponseTimeout = std::max<duration>(
       TypicalLatency * TypicalLatencyFactor, MinResponseTimeout);
@@ -278,8 +277,15 @@
   return BodyBytes + Worker.routeStatistics().typicalResponseBytes(Route);
 }
 
+bool request_relay::mayRetry(const route &Route,
+                             const retry_budget &Retries) const {
+  return Route.IsRepeatable && ConnectedAttempts + 1 < Route.MaxAttempts &&
+         Retries.hasRetry();
+}
+
 const target *request_relay::choose(const admitted_request &Admitted,
-                                    const routing_snapshot &Snapshot) {
+                                    const routing_snapshot &Snapshot,
+                                    const retry_budget &Retries) {
   load_balancer *LoadBalancer = Worker.loadBalancer();
   if (!LoadBalancer)
     return chooseByVerdicts(Admitted, Snapshot);
@@ -288,7 +294,8 @@
   const auto Paused = Worker.pauses().pausedAmong(Targets, Now);
   const load_balancer_choice Choice =
       LoadBalancer->choose(Targets,
-                           {.IsRepeatable = Admitted.Route->IsRepeatable,
+                           {.Service = Admitted.Service->Name.view(),
+                            .IsRepeatable = mayRetry(*Admitted.Route, Retries),
                             .ExpectedBytes = expectedBytes(*Admitted.Route),
                             .Tried = TriedTargets,
                             .Paused = Paused},
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -87,7 +87,11 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   const target *choose(const admitted_request &Admitted,
-                       const routing_snapshot &Snapshot);
+                       const routing_snapshot &Snapshot,
+                       const retry_budget &Retries);
+  /// Whether a request on \p Route can be sent to another target if its next
+  /// attempt fails.
+  bool mayRetry(const route &Route, const retry_budget &Retries) const;
   /// Bytes that the request and its response will transfer, as far as known.
   std::size_t expectedBytes(const route &Route) const;
   const target *chooseByVerdicts(const admitted_request &Admitted,
