Decode what services declare for their cold targets

A target that has just started bears only a few requests a second, but VMs send it as many as to others: the configuration says for how long and how many (`warmup`, `warmup-per-s`), and these members were not read.

A service now carries both. The remaining warm-up of a target was decoded already.

Tested: peridot_platform_tests, 32 cases passed.

--- a/src/state/configuration/types/fleet_configuration.h
+++ b/src/state/configuration/types/fleet_configuration.h
@@ -104,6 +104,10 @@
   std::string ProbePath = "/health";
   /// Whether targets echo the attempt's id; responses without it are rejected.
   bool EchoesAttemptId = false;
+  /// Time after its start in which a target is cold; zero: not declared.
+  std::chrono::milliseconds WarmUp{0};
+  /// Requests per second that a cold target bears; 0: not limited.
+  double WarmUpRequestsPerSecond = 0;
   std::vector<route> Routes;
   std::vector<target> Targets;
 
--- a/src/state/registry/types/registered_target.h
+++ b/src/state/registry/types/registered_target.h
@@ -15,7 +15,7 @@
   target Target;
   service_name Service;
   target_phase Phase = target_phase::Ready;
-  /// Remaining time in which the target is slow after its start.
+  /// Remaining time in which the target is cold, when it wrote its entry.
   std::chrono::milliseconds RemainingWarmUp{0};
   /// Wall-clock time of the target's start in milliseconds; distinguishes
   /// restarts under the same name.
