Send cold targets no more requests than they bear

VMs chose targets that had just started, or had become cold again, like any other, so such a target got many times the requests that it bears.

The choice of a target now leaves out cold targets that this VM may not use, as it leaves out paused ones, also in retries and for the floor. Before anything is sent the target is looked at again: a request that was chosen before the target became cold is not sent, and tries another target. Control passes entries, hosts at each tick of the election and the configuration to `cold_targets`, which the traffic threads share. Service queues count a cold target with what it bears; with registered targets they count no target at all so far.

Services without `warmup-per-s` are served as before.

--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -49,6 +49,13 @@
         "target " + Target.Name.str() + " did not accept a connection";
     co_return Result;
   }
+  if (!maySendTo(Target)) {
+    Result.IsWithheld = true;
+    Result.Detail = "target " + Target.Name.str() +
+                    " has become cold; the request was not sent to it";
+    Worker.targets().returnConnection(Target, std::move(Connection));
+    co_return Result;
+  }
   Result.ReusedConnection = Connection->RequestCount++ > 0;
   Result.OpenedAt = Connection->OpenedAt;
   Result.Progress = attempt_progress::NothingSent;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -236,8 +236,11 @@
       classifyAttempt(Result.Progress, Admitted.Route->IsRepeatable,
                       !BodyConsumed && !Result.Cause, false);
   MayHaveRun |= Verdict.Outcome == request_outcome::Unknown;
-  const refusal_kind Kind = isPastDeadline() ? refusal_kind::DeadlineExceeded
-                                             : kindOf(Result.Progress);
+  refusal_kind Kind = kindOf(Result.Progress);
+  if (Result.IsWithheld)
+    Kind = refusal_kind::NoHealthyTarget;
+  if (isPastDeadline())
+    Kind = refusal_kind::DeadlineExceeded;
   LastRefusal =
       refusal{.Kind = Result.Cause.value_or(Kind), .Detail = Result.Detail};
   const bool IsFinal =
@@ -285,18 +288,42 @@
     return chooseByVerdicts(Admitted, Snapshot);
   const std::span<const target> Targets = Snapshot.targetsOf(*Admitted.Service);
   const instant Now = bootNow();
-  const auto Paused = Worker.pauses().pausedAmong(Targets, Now);
-  const load_balancer_choice Choice =
-      LoadBalancer->choose(Targets,
-                           {.IsRepeatable = Admitted.Route->IsRepeatable,
-                            .ExpectedBytes = expectedBytes(*Admitted.Route),
-                            .Tried = TriedTargets,
-                            .Paused = Paused},
-                           {.DataCenter = Worker.options().DataCenter,
-                            .Now = Now,
-                            .Random = Worker.random()});
-  ChosenForFloor = Choice.IsForFloor;
-  return Choice.Target;
+  std::vector<target_name> Unusable = Worker.pauses().pausedAmong(Targets, Now);
+  if (cold_targets *Cold = Worker.coldTargets()) {
+    const cold_target_choice ForCold = Cold->choiceFor(
+        Admitted.Service->Name, Admitted.Route->IsRepeatable, Now);
+    ChosenForFloor = true;
+    if (const target *Due =
+            chooseDueColdTarget(Targets, ForCold.Due, Unusable, Now))
+      return Due;
+    Unusable.insert(Unusable.end(), ForCold.Closed.begin(),
+                    ForCold.Closed.end());
+  }
+  return chooseByCost(*LoadBalancer, *Admitted.Route, Targets,
+                      std::move(Unusable), Now);
+}
+
+const target *request_relay::chooseByCost(load_balancer &LoadBalancer,
+                                          const route &Route,
+                                          std::span<const target> Targets,
+                                          std::vector<target_name> Unusable,
+                                          instant Now) {
+  while (true) {
+    const load_balancer_choice Choice =
+        LoadBalancer.choose(Targets,
+                            {.IsRepeatable = Route.IsRepeatable,
+                             .ExpectedBytes = expectedBytes(Route),
+                             .Tried = TriedTargets,
+                             .Paused = Unusable},
+                            {.DataCenter = Worker.options().DataCenter,
+                             .Now = Now,
+                             .Random = Worker.random()});
+    ChosenForFloor = Choice.IsForFloor;
+    if (!Choice.Target || admitToTarget(*Choice.Target, Now))
+      return Choice.Target;
+    // Another traffic thread has taken the last token.
+    Unusable.push_back(Choice.Target->Name);
+  }
 }
 
 const target *
@@ -358,7 +385,7 @@
 }
 
 attempt_end request_relay::endOf(const attempt_result &Result) {
-  if (Result.CallerDisconnected || Result.Cause)
+  if (Result.CallerDisconnected || Result.Cause || Result.IsWithheld)
     return attempt_end::Cancelled;
   if (Result.IsComplete || Result.Buffered)
     return Result.Status >= 500 ? attempt_end::RespondedError
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -63,6 +63,8 @@
     bool IsComplete = false; ///< The response was buffered or sent completely.
     bool ReusedConnection = false;
     bool CallerDisconnected = false;
+    /// Nothing was sent, as the target had become cold.
+    bool IsWithheld = false;
     /// The request was not sent to the target completely.
     bool IsRequestTruncated = false;
     unsigned Status = 0; ///< Status of the target's response; 0: none.
@@ -88,6 +90,22 @@
 
   const target *choose(const admitted_request &Admitted,
                        const routing_snapshot &Snapshot);
+  /// Returns the best target for a request on \p Route that is not among
+  /// \p Unusable; null if there is none.
+  const target *chooseByCost(load_balancer &LoadBalancer, const route &Route,
+                             std::span<const target> Targets,
+                             std::vector<target_name> Unusable, instant Now);
+  /// Takes a token if \p Target is cold. \returns whether it may get the
+  /// request.
+  bool admitToTarget(const target &Target, instant Now);
+  /// Returns the first cold target of \p Due that can be used; null if none.
+  const target *chooseDueColdTarget(std::span<const target> Targets,
+                                    std::span<const target_name> Due,
+                                    std::span<const target_name> Paused,
+                                    instant Now);
+  /// Whether the request may still be sent to the target that was chosen, which
+  /// may have become cold.
+  bool maySendTo(const target &Target);
   /// Bytes that the request and its response will transfer, as far as known.
   std::size_t expectedBytes(const route &Route) const;
   const target *chooseByVerdicts(const admitted_request &Admitted,
@@ -204,6 +222,9 @@
   bool NeedsNewConnection = false;
   /// Whether the target of the current attempt was chosen for the floor.
   bool ChosenForFloor = false;
+  /// When a token was taken for the target of the current attempt; empty: the
+  /// target was not cold.
+  std::optional<instant> ColdTokenAt;
   bool MayHaveRun = false;     ///< A target may have run the request.
   bool HasAskedTarget = false; ///< Request bytes were sent to a target.
   /// Why the rest of the body could not be read from the caller, if so.
--- a/src/transport/callers/internal/service_queue.cpp
+++ b/src/transport/callers/internal/service_queue.cpp
@@ -43,15 +43,18 @@
 
 } // namespace
 
-std::size_t service_queues::slotsOf(const service &Service,
+std::size_t service_queues::slotsOf(const admitted_request &Admitted,
                                     const routing_snapshot &Snapshot) const {
   const instant Now = bootNow();
-  std::size_t Slots = 0;
-  for (const target &Target : Service.Targets)
+  const duration Latency =
+      ColdTargets ? Statistics.typicalLatency(*Admitted.Route) : duration{0};
+  double Slots = 0;
+  for (const target &Target : Admitted.Service->Targets)
     if (Snapshot.conditionOf(Target.Name) == target_condition::Serving &&
         !Pauses.isPaused(Target, Now))
-      Slots += Target.Slots;
-  return Slots;
+      Slots += ColdTargets ? ColdTargets->usableSlots(Target, Latency, Now)
+                           : Target.Slots;
+  return static_cast<std::size_t>(Slots);
 }
 
 service_slot service_queues::takeSlot(queue &Queue) {
@@ -106,7 +109,7 @@
 task<slot_result> service_queues::acquireSlot(admitted_request Admitted,
                                               snapshot_ptr Snapshot) {
   queue &Queue = Queues[Admitted.Service->Name];
-  Queue.Capacity = slotsOf(*Admitted.Service, *Snapshot);
+  Queue.Capacity = slotsOf(Admitted, *Snapshot);
   // Without any slot, waiting is pointless: the relay refuses the requests.
   if (Queue.Capacity == 0)
     wakeAll(Queue);
--- a/src/transport/callers/internal/service_queue.h
+++ b/src/transport/callers/internal/service_queue.h
@@ -12,6 +12,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "coordination/limits/fair_queue.h"
+#include "coordination/load_balancing/cold_targets.h"
+#include "coordination/load_balancing/route_statistics.h"
 #include "coordination/load_balancing/target_pauses.h"
 #include "coordination/routing/admission.h"
 #include "transport/runtime/asio_types.h"
@@ -42,8 +44,12 @@
 /// Queues of all services; used on the traffic thread only.
 class service_queues {
 public:
-  /// \p Pauses must outlive the queues.
-  explicit service_queues(const target_pauses &Pauses) : Pauses(Pauses) {}
+  /// \p Pauses and \p Statistics must outlive the queues.
+  service_queues(const target_pauses &Pauses,
+                 const route_statistics &Statistics)
+      : Pauses(Pauses), Statistics(Statistics) {}
+  /// Counts cold targets with what they bear. \p Limit: null for none.
+  void limitColdTargets(const cold_targets *Limit) { ColdTargets = Limit; }
 
   /// Waits until the service has a free slot for the request. Refuses it with
   /// QueueFull (not-run) if it does not fit in the queue, is displaced from
@@ -76,13 +82,15 @@
   void wake(queue &Queue, queue_ticket Ticket, wait_result End);
   void release(queue &Queue);
   /// Number of requests that the targets of a service may run at once.
-  std::size_t slotsOf(const service &Service,
+  std::size_t slotsOf(const admitted_request &Admitted,
                       const routing_snapshot &Snapshot) const;
   /// Lets all waiting requests go on, as no target can take them.
   void wakeAll(queue &Queue);
   service_slot takeSlot(queue &Queue);
 
   const target_pauses &Pauses;
+  const route_statistics &Statistics;
+  const cold_targets *ColdTargets = nullptr;
   bool IsClosed = false;
   bool HasStoppedWaiting = false;
   /// Entries are never erased, as slots refer to them.
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -43,7 +43,8 @@
       LoadBalancer(Options.LoadBalancing
                        ? std::optional<load_balancer>(*Options.LoadBalancing)
                        : std::nullopt),
-      Meters(Metrics), Queues(std::make_unique<service_queues>(Pauses)),
+      Meters(Metrics),
+      Queues(std::make_unique<service_queues>(Pauses, RouteStatistics)),
       RunningRequests(std::make_unique<running_requests>()),
       ResponseBuffers(Options.ResponseBuffers),
       Loop(ThreadName, logHandlerFailure), Acceptor(Loop.context()),
@@ -65,6 +66,11 @@
                                  .ReusePort = true});
 }
 
+void traffic_worker::setHooks(traffic_hooks Replacing) {
+  Hooks = std::move(Replacing);
+  Queues->limitColdTargets(Hooks.ColdTargets);
+}
+
 void traffic_worker::start() {
   asio::co_spawn(Loop.context(), acceptCallers(), asio::detached);
 }
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -14,6 +14,7 @@
 #include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
+#include "coordination/load_balancing/cold_targets.h"
 #include "coordination/load_balancing/load_balancer.h"
 #include "coordination/load_balancing/route_statistics.h"
 #include "coordination/load_balancing/target_pauses.h"
@@ -72,6 +73,9 @@
   /// Passes a pause that a target asked for to all traffic threads.
   std::function<void(const target_pause &)> SharePause =
       [](const target_pause &) {};
+  /// Limit of requests to cold targets, shared by the traffic threads; null:
+  /// targets are not limited.
+  cold_targets *ColdTargets = nullptr;
 };
 
 /// Owns one thread that accepts caller connections and serves their requests.
@@ -88,7 +92,7 @@
   /// \returns the bound port.
   result<std::uint16_t> listen(std::uint16_t SharedPort);
   /// Replaces the hooks; called before start().
-  void setHooks(traffic_hooks Replacing) { Hooks = std::move(Replacing); }
+  void setHooks(traffic_hooks Replacing);
   void start();
   /// Ends the thread; requests in progress are aborted.
   void stop() { Loop.stop(); }
@@ -154,6 +158,8 @@
     return LoadBalancer ? &*LoadBalancer : nullptr;
   }
   target_pauses &pauses() { return Pauses; }
+  /// Null if targets are not limited while they are cold.
+  cold_targets *coldTargets() { return Hooks.ColdTargets; }
   route_statistics &routeStatistics() { return RouteStatistics; }
   response_buffers &responseBuffers() { return ResponseBuffers; }
   /// Index in the split of \p Route of the service for its next request.
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -37,8 +37,10 @@
 } // namespace
 
 hosting_driver::hosting_driver(node_services &Services,
-                               leaving_callback OnLeaving)
+                               leaving_callback OnLeaving,
+                               hosts_callback OnHosts)
     : Services(Services), OnLeaving(std::move(OnLeaving)),
+      OnHosts(std::move(OnHosts)),
       Machine(Services.Self.Vm, Services.Settings.DataCenter,
               Services.Settings.RateTolerance,
               {.MaxStopTime = Services.Settings.ShutdownLimit}),
@@ -143,6 +145,7 @@
        Election.hosts(Services.Settings.DataCenter, Now))
     Hosts.push_back(Vm.Vm);
   std::ranges::sort(Hosts);
+  OnHosts(Hosts);
   const auto &Published = Services.Snapshots.current().LocalHosts;
   if (Published && *Published == Hosts)
     return;
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -15,7 +15,11 @@
   /// Called with targets that said to a peer that they leave.
   using leaving_callback = std::function<void(std::span<const target_leaving>)>;
 
-  hosting_driver(node_services &Services, leaving_callback OnLeaving);
+  /// Called with the hosts of this VM's data centre at each tick and change.
+  using hosts_callback = std::function<void(std::span<const vm_name>)>;
+
+  hosting_driver(node_services &Services, leaving_callback OnLeaving,
+                 hosts_callback OnHosts);
 
   void start();
   /// Applies VM entries of the store; \p IsList: \p Items are all entries.
@@ -75,6 +79,7 @@
 
   node_services &Services;
   leaving_callback OnLeaving;
+  hosts_callback OnHosts;
   hosting_machine Machine;
   host_election &Election; ///< Of Machine.
   std::map<vm_name, ranked_vm> RegisteredVms;
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -59,14 +59,18 @@
 } // namespace
 
 store_control::store_control(node_services &Services)
-    : Services(Services), Adapter(*Services.Settings.Adapter),
+    : Services(Services), Adapter(*Services.Settings.Adapter), Cold(Services),
       Store(Adapter.MakeStore(Services.Loop,
                               endpointOf(Services.Settings.PlatformAddress,
                                          Services.Settings.PlatformPort))),
-      Hosting(Services,
-              [this](std::span<const target_leaving> Leaving) {
-                Follower.recordLeaving(Leaving);
-              }),
+      Hosting(
+          Services,
+          [this](std::span<const target_leaving> Leaving) {
+            Follower.recordLeaving(Leaving);
+          },
+          [this](std::span<const vm_name> Hosts) {
+            Cold.setHosts(Hosts, Hosting.ranking().size());
+          }),
       Follower(
           Services, Store,
           {.RequestSnapshot =
@@ -75,6 +79,9 @@
                },
            .HasWatchers = [this] { return Relay.hasWatchers(); },
            .IsOutageReported = [this] { return Relay.isOutageReported(); }},
+          [this](const store_items &Items, bool IsList) {
+            Cold.apply(Items, IsList);
+          },
           [this](const store_items &Items, bool IsList) {
             findFleetKey(Items);
             Hosting.apply(Items, IsList);
@@ -83,7 +90,10 @@
           },
           [this](const store_changes &Changes) { Relay.relay(Changes); },
           [this] { Relay.reportRead(); },
-          [this] { Hosting.configurationAccepted(); }),
+          [this] {
+            Cold.configurationAccepted();
+            Hosting.configurationAccepted();
+          }),
       Relay(Services, Follower),
       Directory(
           Services.Loop,
@@ -110,6 +120,7 @@
     Worker->publishKeyFreshness(instant{});
   Directory.start();
   Readiness.start();
+  Cold.start();
   Hosting.start();
   Relay.start();
   Follower.start();
@@ -133,6 +144,7 @@
     for (const auto &Worker : Services.Workers)
       Worker->addPause(Pause);
   };
+  Hooks.ColdTargets = &Cold.targets();
   return Hooks;
 }
 
--- a/src/transport/node/internal/store_control.h
+++ b/src/transport/node/internal/store_control.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/registry/registration_monitor.h"
+#include "transport/node/internal/cold_target_driver.h"
 #include "transport/node/internal/hosting_driver.h"
 #include "transport/node/internal/store_follower.h"
 #include "transport/node/internal/store_relay.h"
@@ -48,6 +49,7 @@
 
   node_services &Services;
   const platform_adapter &Adapter;
+  cold_target_driver Cold;
   fleet_store Store;
   hosting_driver Hosting;
   store_follower Follower;
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -25,14 +25,15 @@
 } // namespace
 
 store_follower::store_follower(node_services &Services, fleet_store &Store,
-                               follower_peers Peers, vms_callback OnVms,
-                               changes_callback OnChanges, read_callback OnRead,
+                               follower_peers Peers, items_callback OnTargets,
+                               items_callback OnVms, changes_callback OnChanges,
+                               read_callback OnRead,
                                configuration_callback OnConfiguration)
     : Services(Services), Store(Store), Peers(std::move(Peers)),
-      OnVms(std::move(OnVms)), OnChanges(std::move(OnChanges)),
-      OnRead(std::move(OnRead)), OnConfiguration(std::move(OnConfiguration)),
-      Archive(Store), WakeTimer(Services.Loop), RetryTimer(Services.Loop),
-      Targets(Services) {
+      OnTargets(std::move(OnTargets)), OnVms(std::move(OnVms)),
+      OnChanges(std::move(OnChanges)), OnRead(std::move(OnRead)),
+      OnConfiguration(std::move(OnConfiguration)), Archive(Store),
+      WakeTimer(Services.Loop), RetryTimer(Services.Loop), Targets(Services) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -277,6 +278,7 @@
     applyConfiguration(Items);
     break;
   case fleet_collection::Targets:
+    OnTargets(Items, IsList);
     Targets.apply(Items, IsList);
     break;
   case fleet_collection::Vms:
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -34,7 +34,7 @@
 /// from changes that other VMs relay.
 class store_follower {
 public:
-  using vms_callback = std::function<void(const store_items &, bool IsList)>;
+  using items_callback = std::function<void(const store_items &, bool IsList)>;
   using changes_callback = std::function<void(const store_changes &)>;
   /// Called after a read that is not relayed brought new data.
   using read_callback = std::function<void()>;
@@ -43,12 +43,14 @@
   /// Receives the start time of the read; empty if it failed.
   using confirmation_callback = std::function<void(std::optional<instant>)>;
 
+  /// \param OnTargets receives the target entries that were read, before their
+  ///        targets come into use.
   /// \param OnVms receives the VM entries that were read.
   /// \param OnChanges receives the results of this VM's own watches.
   store_follower(node_services &Services, fleet_store &Store,
-                 follower_peers Peers, vms_callback OnVms,
-                 changes_callback OnChanges, read_callback OnRead,
-                 configuration_callback OnConfiguration);
+                 follower_peers Peers, items_callback OnTargets,
+                 items_callback OnVms, changes_callback OnChanges,
+                 read_callback OnRead, configuration_callback OnConfiguration);
 
   void start();
   /// Sets whether this VM watches the collections itself.
@@ -141,7 +143,8 @@
   }
 
   follower_peers Peers;
-  vms_callback OnVms;
+  items_callback OnTargets;
+  items_callback OnVms;
   changes_callback OnChanges;
   read_callback OnRead;
   configuration_callback OnConfiguration;
