--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -56,12 +56,17 @@
 void store_fleet::writeConfiguration(
     int Version, const std::vector<store_account> &Accounts,
     const std::string &ExtraRoutePrefix) const {
+  json::object Service{{"health-path", "/health"}};
+  if (WarmUpPerSecond > 0) {
+    Service["warmup"] = "3s";
+    Service["warmup-per-s"] = WarmUpPerSecond;
+  }
   json::array Resources{routeTo("/logs/", "idempotent"),
                         routeTo("/dispatch/", "non_idempotent"),
                         routeTo("/packs/", "download"),
                         {{"resource-kind", "services"},
                          {"metadata", {{"name", "hive"}}},
-                         {"spec", {{"health-path", "/health"}}}}};
+                         {"spec", std::move(Service)}}};
   if (!ExtraRoutePrefix.empty())
     Resources.push_back(routeTo(ExtraRoutePrefix, "idempotent"));
   for (const store_account &Each : Accounts) {
@@ -106,7 +111,10 @@
               {"zone", Target.Target.DataCenter},
               {"version", "v1"},
               {"max-concurrency", Target.Slots}}},
-            {"status", {{"state", State}, {"sequence", 1}}},
+            {"status",
+             {{"state", State},
+              {"sequence", 1},
+              {"warmup-left", std::to_string(Target.WarmUpLeftMs) + "ms"}}},
             {"born", Target.Process}}}}));
 }
 
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -36,7 +36,8 @@
   running_target Target;
   std::unique_ptr<running_proxy> Proxy;
   int Slots = DefaultSlots;
-  int Process = 1; ///< Differs between processes under the same name.
+  int Process = 1;      ///< Differs between processes under the same name.
+  int WarmUpLeftMs = 0; ///< Remaining time in which the target is cold.
 };
 
 /// Starts an object platform stand-in; tests add nodes and targets.
@@ -79,6 +80,9 @@
   /// Puts a fault proxy in front of each node's peer port; applies to nodes
   /// that are added later.
   bool ProxiesPeers = false;
+  /// Requests per second that a cold target bears; 0: not declared. Applies to
+  /// configurations that are written later.
+  double WarmUpPerSecond = 0;
   /// Flags of all nodes, after those of the fleet; apply from the next start.
   std::vector<std::string> NodeFlags;
 
