Follow the evacuations of data centres in the platform's store

Callers saw: nothing yet. An operator who evacuates a data centre by an object evacuations/NAME had no effect, as no VM read that kind.

--- a/apps/peridotport/settings.cpp
+++ b/apps/peridotport/settings.cpp
@@ -66,6 +66,10 @@
 DEFINE_double(floor_share, 0.5,
               "Share of a service's healthy targets that stay in use while "
               "many of its requests fail, 0 to 1; with --adapter");
+DEFINE_string(evacuation_bound, "",
+              "Maximum time until an evacuated data centre gets no more "
+              "requests, 1ms to 3600s; empty: evacuations are not followed; "
+              "applies from the start; with --adapter");
 DEFINE_double(processor_cores, 1,
               "Cores that this VM may use, 0.001 to 1024; with --adapter");
 DEFINE_double(link_mbps, 1000,
@@ -246,6 +250,9 @@
   Validator.require(FLAGS_floor_share >= 0 && FLAGS_floor_share <= 1,
                     "--floor_share is out of range; use 0 to 1");
   Settings.FloorShare = FLAGS_floor_share;
+  if (!FLAGS_evacuation_bound.empty())
+    Settings.EvacuationBound = parseDuration(
+        Validator, "evacuation_bound", FLAGS_evacuation_bound, 1ms, 3'600s);
   Validator.require(FLAGS_processor_cores >= 0.001 &&
                         FLAGS_processor_cores <= 1'024,
                     "--processor_cores is out of range; use 0.001 to 1024");
--- a/src/coordination/registry/types/store_messages.h
+++ b/src/coordination/registry/types/store_messages.h
@@ -39,6 +39,7 @@
   std::uint64_t ConfigurationChange = 0;
   std::uint64_t TargetsChange = 0;
   std::uint64_t VmsChange = 0;
+  std::uint64_t EvacuationsChange = 0;
 };
 
 /// Requests the age of a watcher's last confirmation of the configuration.
--- a/src/protocol/store_messages/internal/store_codec.cpp
+++ b/src/protocol/store_messages/internal/store_codec.cpp
@@ -54,7 +54,7 @@
               Builder, Report.StoreResponds, Report.ConfigurationChange,
               Report.TargetsChange,
               static_cast<std::uint64_t>(Report.RespondingFor.count()),
-              Report.Revision, Report.VmsChange)
+              Report.Revision, Report.VmsChange, Report.EvacuationsChange)
               .Union()};
 }
 
@@ -81,6 +81,7 @@
   case fleet_collection::Configuration:
   case fleet_collection::Targets:
   case fleet_collection::Vms:
+  case fleet_collection::Evacuations:
     return Collection;
   }
   return std::nullopt;
@@ -156,13 +157,14 @@
       if (auto Decoded = decode(*Request))
         return *std::move(Decoded);
     if (const auto *Report = Wire.body_as_ReaderReport())
-      return watcher_report{.StoreResponds = Report->store_answers(),
-                            .RespondingFor = respondingTimeOf(*Report),
-                            .Revision = Report->revision(),
-                            .ConfigurationChange =
-                                Report->configuration_position(),
-                            .TargetsChange = Report->targets_position(),
-                            .VmsChange = Report->vms_position()};
+      return watcher_report{
+          .StoreResponds = Report->store_answers(),
+          .RespondingFor = respondingTimeOf(*Report),
+          .Revision = Report->revision(),
+          .ConfigurationChange = Report->configuration_position(),
+          .TargetsChange = Report->targets_position(),
+          .VmsChange = Report->vms_position(),
+          .EvacuationsChange = Report->evacuations_position()};
     if (const auto *Request = Wire.body_as_ConfirmationWanted())
       return confirmation_request{.Number = Request->number()};
     if (const auto *Response = Wire.body_as_ConfirmationGiven())
--- a/src/protocol/store_messages/tests/store_codec_test.cpp
+++ b/src/protocol/store_messages/tests/store_codec_test.cpp
@@ -35,8 +35,8 @@
 }
 
 TEST_CASE("storeCodec_snapshotRequestAndSnapshot_roundTrip") {
-  CHECK(roundTrip(snapshot_request{.Collection = fleet_collection::Vms})
-            .Collection == fleet_collection::Vms);
+  for (const fleet_collection Each : AllCollections)
+    CHECK(roundTrip(snapshot_request{.Collection = Each}).Collection == Each);
   const auto Decoded =
       roundTrip(store_snapshot{.Collection = fleet_collection::Targets,
                                .Position = 31,
@@ -57,13 +57,15 @@
                      .Revision = 12,
                      .ConfigurationChange = 4,
                      .TargetsChange = 5,
-                     .VmsChange = 6});
+                     .VmsChange = 6,
+                     .EvacuationsChange = 7});
   CHECK(Decoded.StoreResponds);
   CHECK(Decoded.RespondingFor == std::chrono::milliseconds(1'500));
   CHECK(Decoded.Revision == 12);
   CHECK(Decoded.ConfigurationChange == 4);
   CHECK(Decoded.TargetsChange == 5);
   CHECK(Decoded.VmsChange == 6);
+  CHECK(Decoded.EvacuationsChange == 7);
 }
 
 TEST_CASE("storeCodec_confirmationRequestAndResponse_roundTrip") {
--- a/src/transport/node/internal/store_archive.h
+++ b/src/transport/node/internal/store_archive.h
@@ -47,7 +47,8 @@
   }
 
   const fleet_store &Store;
-  std::array<archived_collection, 3> Collections; ///< By fleet_collection.
+  /// Indexed by fleet_collection.
+  std::array<archived_collection, AllCollections.size()> Collections;
 };
 
 } // namespace peridot
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -31,13 +31,15 @@
     : Services(Services), Store(Store), Peers(std::move(Peers)),
       OnVms(std::move(OnVms)), OnChanges(std::move(OnChanges)),
       OnRead(std::move(OnRead)), OnConfiguration(std::move(OnConfiguration)),
+      Followed(
+          followedCollections(Services.Settings.EvacuationBound.has_value())),
       Archive(Store), WakeTimer(Services.Loop), RetryTimer(Services.Loop),
       Targets(Services) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
 void store_follower::start() {
-  for (const fleet_collection Each : AllCollections)
+  for (const fleet_collection Each : Followed)
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
   Targets.start();
   CompareTimer = Services.Timers.every(ComparePeriod,
@@ -57,6 +59,10 @@
   WakeTimer.cancel();
 }
 
+bool store_follower::follows(fleet_collection Collection) const {
+  return std::ranges::find(Followed, Collection) != Followed.end();
+}
+
 fleet_collection store_follower::probedCollection() const {
   return position(fleet_collection::Vms) == 0 ? fleet_collection::Vms
                                               : fleet_collection::Configuration;
@@ -135,9 +141,9 @@
 }
 
 void store_follower::setStoreUnreachable() {
-  for (const fleet_collection Each :
-       {fleet_collection::Configuration, fleet_collection::Targets})
-    syncOf(Each).recordFailure();
+  for (const fleet_collection Each : Followed)
+    if (Each != fleet_collection::Vms)
+      syncOf(Each).recordFailure();
   updateReachability(false);
 }
 
@@ -282,6 +288,8 @@
   case fleet_collection::Vms:
     OnVms(Items, IsList);
     break;
+  case fleet_collection::Evacuations:
+    break;
   }
   return Changed;
 }
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <functional>
 #include <optional>
+#include <span>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -109,6 +110,7 @@
   task<bool> fetchFromPeers(fleet_collection Collection);
   /// Waits until shouldQuery() holds for a collection.
   task<void> waitUntilQueryNeeded(fleet_collection Collection);
+  bool follows(fleet_collection Collection) const;
   /// Whether this VM itself has to call the store for a collection.
   bool shouldQuery(fleet_collection Collection) const;
   /// The collection whose calls show whether the store is reachable.
@@ -145,11 +147,16 @@
   changes_callback OnChanges;
   read_callback OnRead;
   configuration_callback OnConfiguration;
-  std::array<collection_sync, 3> Sync; ///< Indexed by fleet_collection.
-  std::array<bool, 3> IsWatching{};    ///< Whether a watch is open.
+  /// The collections that this VM follows.
+  std::span<const fleet_collection> Followed;
+  /// Indexed by fleet_collection.
+  std::array<collection_sync, AllCollections.size()> Sync;
+  /// Whether a watch is open, by collection.
+  std::array<bool, AllCollections.size()> IsWatching{};
   store_archive Archive;
   /// Timers of fetchFromPeers(), by collection; null while it does not wait.
-  std::array<boost::asio::steady_timer *, 3> SnapshotWaits{};
+  std::array<boost::asio::steady_timer *, AllCollections.size()>
+      SnapshotWaits{};
   /// Changes that were read, of all collections.
   seen_revisions SeenRevisions;
   /// Highest position of the store that a call has shown.
--- a/src/transport/node/internal/store_follower_peers.cpp
+++ b/src/transport/node/internal/store_follower_peers.cpp
@@ -58,9 +58,9 @@
 void store_follower::compareWithStore() {
   // The configuration is read again anyway, to confirm the keys.
   if (IsWatcher)
-    for (const fleet_collection Each :
-         {fleet_collection::Targets, fleet_collection::Vms})
-      if (!SeenRevisions.coverRange(position(Each), ExpectedStorePosition))
+    for (const fleet_collection Each : Followed)
+      if (Each != fleet_collection::Configuration &&
+          !SeenRevisions.coverRange(position(Each), ExpectedStorePosition))
         syncOf(Each).recordUndelivered();
   ExpectedStorePosition = StorePosition;
 }
@@ -70,10 +70,10 @@
   if (!IsReachable)
     WakeTimer.cancel();
   std::array<bool, AllCollections.size()> NeededList{};
-  for (const fleet_collection Each : AllCollections)
+  for (const fleet_collection Each : Followed)
     NeededList[static_cast<std::size_t>(Each)] = syncOf(Each).needsList();
   compareWithStore();
-  for (const fleet_collection Each : AllCollections) {
+  for (const fleet_collection Each : Followed) {
     collection_sync &Progress = syncOf(Each);
     Progress.compareWithPeers();
     if (NeededList[static_cast<std::size_t>(Each)] || !Progress.needsList())
@@ -97,7 +97,8 @@
 
 void store_follower::applyRelayed(const store_changes &Changes) {
   // Every watcher sends each change; only the first copy is decoded.
-  if (position(Changes.Collection) >= Changes.Range.Position)
+  if (!follows(Changes.Collection) ||
+      position(Changes.Collection) >= Changes.Range.Position)
     return;
   const auto Document =
       Archive.unpackChanges(Changes.Collection, Changes.Document);
@@ -127,7 +128,8 @@
 
 void store_follower::applySnapshot(const store_snapshot &Snapshot) {
   collection_sync &Progress = syncOf(Snapshot.Collection);
-  if (!Progress.needsList() || !Progress.accepts(Snapshot.Position))
+  if (!follows(Snapshot.Collection) || !Progress.needsList() ||
+      !Progress.accepts(Snapshot.Position))
     return;
   const auto Document = unpackDocument(Snapshot.Document);
   const auto Items =
--- a/src/transport/node/internal/store_relay.cpp
+++ b/src/transport/node/internal/store_relay.cpp
@@ -137,7 +137,8 @@
       .ConfigurationChange =
           Follower.lastChange(fleet_collection::Configuration),
       .TargetsChange = Follower.lastChange(fleet_collection::Targets),
-      .VmsChange = Follower.lastChange(fleet_collection::Vms)});
+      .VmsChange = Follower.lastChange(fleet_collection::Vms),
+      .EvacuationsChange = Follower.lastChange(fleet_collection::Evacuations)});
 }
 
 bool store_relay::hasWatchers() const {
@@ -223,6 +224,8 @@
                               Report.ConfigurationChange);
     Follower.recordPeerChange(fleet_collection::Targets, Report.TargetsChange);
     Follower.recordPeerChange(fleet_collection::Vms, Report.VmsChange);
+    Follower.recordPeerChange(fleet_collection::Evacuations,
+                              Report.EvacuationsChange);
   }
   updateRole(Now);
   updateAvailability(Now);
--- a/src/transport/node/types/node_settings.h
+++ b/src/transport/node/types/node_settings.h
@@ -47,6 +47,10 @@
   /// Minimum share of a service's healthy targets that stays in use while many
   /// requests fail.
   double FloorShare = 0.5;
+  /// Maximum time from the confirmation of a data centre's evacuation until no
+  /// request reaches its targets. Empty: the deployment has no evacuations, and
+  /// the store is not asked for them. Only with an adapter.
+  std::optional<std::chrono::milliseconds> EvacuationBound;
   vm_resources Resources; ///< Of this VM; only with an adapter.
   std::chrono::milliseconds AddressTimeToLive{10'000};
   /// Maximum time that a shutdown waits for running requests.
--- a/src/transport/platform/types/fleet_store.h
+++ b/src/transport/platform/types/fleet_store.h
@@ -20,6 +20,7 @@
 #include "state/registry/types/fleet_collection.h"
 #include "state/registry/types/registered_target.h"
 #include "state/registry/types/registered_vm.h"
+#include "state/registry/types/requested_evacuation.h"
 #include "transport/runtime/asio_types.h"
 
 namespace peridot {
@@ -37,8 +38,9 @@
   std::string Reason;
 };
 
-using store_content = std::variant<unreadable_content, fleet_configuration,
-                                   registered_target, registered_vm, fleet_key>;
+using store_content =
+    std::variant<unreadable_content, fleet_configuration, registered_target,
+                 registered_vm, fleet_key, requested_evacuation>;
 
 /// One object, or its removal.
 struct store_item {
