Send nothing more to the targets of an evacuated data centre

Callers saw: requests went on to a data centre that the operator had evacuated. Change: evacuation_registry turns lists and changes of the collection into the set of evacuated data centres. target_publisher leaves their targets out of the routing table, so that first and repeated attempts, the floor and the division of targets follow it, and publishes nothing before the collection was read, so that a VM that starts is not ready until then. An attempt that waited for its connection looks again before it sends; it is cancelled, and the request chooses another target. A VM whose process was stopped for 2 s reads the collection at once. Decisions evacuation-started and -ended, warnings for a data centre without targets and for the last one, counters, and the names in /status.

--- a/apps/peridotctl/explain_command.cpp
+++ b/apps/peridotctl/explain_command.cpp
@@ -14,8 +14,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> Kinds = {
-    "target", "account", "vm", "shard", "service", "configuration"};
+constexpr std::array<std::string_view, 7> Kinds = {
+    "target",  "account",       "vm",         "shard",
+    "service", "configuration", "data-center"};
 
 /// Merges the journals of all VMs in order of time.
 std::vector<journal_entry>
--- a/src/coordination/registry/internal/target_registry.cpp
+++ b/src/coordination/registry/internal/target_registry.cpp
@@ -1,5 +1,6 @@
 #include "coordination/registry/target_registry.h"
 
+#include <algorithm>
 #include <set>
 
 namespace peridot {
@@ -125,6 +126,13 @@
          }) > 0;
 }
 
+std::size_t target_registry::countIn(const data_center_name &DataCenter) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Entries, [&](const auto &Each) {
+        return Each.second.Target.Target.DataCenter == DataCenter;
+      }));
+}
+
 target_table target_registry::table() const {
   target_table Table;
   for (const auto &[Name, Entry] : Entries) {
--- a/src/coordination/registry/target_registry.h
+++ b/src/coordination/registry/target_registry.h
@@ -103,6 +103,8 @@
   /// Returns the targets that take new requests, by service.
   target_table table() const;
   std::size_t size() const { return Entries.size(); }
+  /// Returns the number of targets in a data centre, in use or not.
+  std::size_t countIn(const data_center_name &DataCenter) const;
 
 private:
   struct entry {
--- a/src/coordination/routing/types/routing_snapshot.h
+++ b/src/coordination/routing/types/routing_snapshot.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -34,12 +35,17 @@
 
 /// Targets of each service that registers its targets.
 using target_table = std::unordered_map<service_name, std::vector<target>>;
+/// Names of data centres.
+using data_center_set = std::set<data_center_name>;
 
 /// Everything that routing reads, shared by all traffic threads.
 struct routing_snapshot {
   configuration_ptr Configuration;
   /// Null if the services declare their targets in the configuration.
   std::shared_ptr<const target_table> RegisteredTargets;
+  /// Data centres whose targets get no new requests and are not in
+  /// RegisteredTargets; null: the fleet has no evacuations.
+  std::shared_ptr<const data_center_set> Evacuated;
   /// Conditions other than Serving.
   std::unordered_map<target_name, target_condition> Conditions;
   /// VMs that accept new callers, in no particular order.
@@ -59,6 +65,10 @@
                                              : std::span(Found->second);
   }
 
+  bool isEvacuated(const data_center_name &Name) const {
+    return Evacuated && Evacuated->contains(Name);
+  }
+
   target_condition conditionOf(const target_name &Name) const {
     const auto Found = Conditions.find(Name);
     return Found == Conditions.end() ? target_condition::Serving
--- a/src/protocol/operator_documents/internal/operator_documents.cpp
+++ b/src/protocol/operator_documents/internal/operator_documents.cpp
@@ -110,6 +110,15 @@
   });
 }
 
+/// Earlier versions do not list them.
+std::vector<data_center_name> evacuatedFrom(const json::value &Status) {
+  std::vector<data_center_name> Evacuated;
+  if (const json::value *Names = Status.as_object().if_contains("evacuated"))
+    for (const json::value &Each : Names->as_array())
+      Evacuated.emplace_back(std::string(Each.as_string()));
+  return Evacuated;
+}
+
 vm_status statusFrom(const json::value &Value) {
   return {.Vm = {vm_name(textOf(Value, "vm")),
                  {Value.at("incarnation").to_number<std::uint64_t>()}},
@@ -126,7 +135,8 @@
           .Shards = {.Owned = numberOf(Value, "shards_owned"),
                      .Acting = numberOf(Value, "shards_acting"),
                      .ActingFor = std::chrono::milliseconds(
-                         Value.at("acting_for_ms").to_number<std::int64_t>())}};
+                         Value.at("acting_for_ms").to_number<std::int64_t>())},
+          .Evacuated = evacuatedFrom(Value)};
 }
 
 } // namespace
@@ -156,6 +166,9 @@
 }
 
 std::string encodeStatus(const vm_status &Status) {
+  json::array Evacuated;
+  for (const data_center_name &Each : Status.Evacuated)
+    Evacuated.emplace_back(Each.str());
   return json::serialize(
       json::value{{"vm", Status.Vm.Vm.str()},
                   {"incarnation", Status.Vm.Incarnation.Value},
@@ -171,7 +184,8 @@
                   {"silent_links", Status.SilentLinks},
                   {"shards_owned", Status.Shards.Owned},
                   {"shards_acting", Status.Shards.Acting},
-                  {"acting_for_ms", Status.Shards.ActingFor.count()}});
+                  {"acting_for_ms", Status.Shards.ActingFor.count()},
+                  {"evacuated", std::move(Evacuated)}});
 }
 
 result<vm_status> decodeStatus(std::string_view Json) {
--- a/src/protocol/operator_documents/operator_documents.h
+++ b/src/protocol/operator_documents/operator_documents.h
@@ -39,6 +39,8 @@
   std::uint64_t VmsSuspected = 0;
   std::uint64_t SilentLinks = 0;
   shard_summary Shards;
+  /// Data centres whose targets get no new requests from this VM.
+  std::vector<data_center_name> Evacuated;
 
   bool operator==(const vm_status &) const = default;
 };
--- a/src/protocol/operator_documents/tests/operator_documents_test.cpp
+++ b/src/protocol/operator_documents/tests/operator_documents_test.cpp
@@ -10,7 +10,8 @@
                          .Revision = {3},
                          .KeysAreFresh = true,
                          .Freshness = "confirmed",
-                         .IsWatcher = true};
+                         .IsWatcher = true,
+                         .Evacuated = {data_center_name("lakes-b")}};
   CHECK(decodeStatus(encodeStatus(Status)).value() == Status);
   const std::vector<journal_entry> Entries{
       {.At = std::chrono::system_clock::time_point(std::chrono::seconds(9)),
--- a/src/state/journal/decision_journal.h
+++ b/src/state/journal/decision_journal.h
@@ -35,10 +35,20 @@
   StoreRegained,
   HostingStarted,
   HostingEnded,
+  EvacuationStarted,
+  EvacuationEnded,
 };
 
 /// Kinds of objects that a decision can apply to.
-enum class subject_kind { Target, Account, Vm, Shard, Service, Configuration };
+enum class subject_kind {
+  Target,
+  Account,
+  Vm,
+  Shard,
+  Service,
+  Configuration,
+  DataCenter
+};
 
 /// One automatic decision.
 struct decision {
--- a/src/state/journal/internal/decision_journal.cpp
+++ b/src/state/journal/internal/decision_journal.cpp
@@ -48,6 +48,10 @@
     return "hosting-started";
   case decision_kind::HostingEnded:
     return "hosting-ended";
+  case decision_kind::EvacuationStarted:
+    return "evacuation-started";
+  case decision_kind::EvacuationEnded:
+    return "evacuation-ended";
   }
   return "unknown";
 }
@@ -66,6 +70,8 @@
     return "service";
   case subject_kind::Configuration:
     return "configuration";
+  case subject_kind::DataCenter:
+    return "data-center";
   }
   return "unknown";
 }
--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -44,6 +44,14 @@
     Result.Cause = refusal_kind::ShuttingDown;
     co_return Result;
   }
+  // The control thread may have learned of an evacuation while this attempt
+  // waited for its connection.
+  if (Worker.snapshot()->isEvacuated(Target.DataCenter)) {
+    Result.IsWithdrawn = true;
+    Result.Detail = "data centre " + Target.DataCenter.str() +
+                    " was evacuated before anything was sent";
+    co_return Result;
+  }
   if (!Connection) {
     Result.Detail =
         "target " + Target.Name.str() + " did not accept a connection";
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -115,6 +115,12 @@
     RetryTime = retryTime(*Admitted.Route, Retries);
     Progress.enter(request_step::Target);
     attempt_result Result = co_await attemptAndObserve(*Target, Admitted);
+    if (Result.IsWithdrawn) {
+      Worker.metrics()
+          .getOrCreateCounter("peridot_attempts_withdrawn_total")
+          .add();
+      continue;
+    }
     HasAskedTarget |= Result.Progress > attempt_progress::NothingSent;
     if (Result.IsComplete)
       Retries.recordSuccess();
@@ -358,7 +364,7 @@
 }
 
 attempt_end request_relay::endOf(const attempt_result &Result) {
-  if (Result.CallerDisconnected || Result.Cause)
+  if (Result.CallerDisconnected || Result.Cause || Result.IsWithdrawn)
     return attempt_end::Cancelled;
   if (Result.IsComplete || Result.Buffered)
     return Result.Status >= 500 ? attempt_end::RespondedError
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -63,6 +63,8 @@
     bool IsComplete = false; ///< The response was buffered or sent completely.
     bool ReusedConnection = false;
     bool CallerDisconnected = false;
+    /// The target's data centre was evacuated before anything was sent.
+    bool IsWithdrawn = false;
     /// The request was not sent to the target completely.
     bool IsRequestTruncated = false;
     unsigned Status = 0; ///< Status of the target's response; 0: none.
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -286,6 +286,9 @@
                    .VmsListed = Hosting.registeredVmCount()};
   if (Snapshot.Configuration)
     Status.Revision = Snapshot.Configuration->configuration().Revision;
+  if (Snapshot.Evacuated)
+    Status.Evacuated.assign(Snapshot.Evacuated->begin(),
+                            Snapshot.Evacuated->end());
   return encodeStatus(Status);
 }
 
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -34,7 +34,7 @@
       Followed(
           followedCollections(Services.Settings.EvacuationBound.has_value())),
       Archive(Store), WakeTimer(Services.Loop), RetryTimer(Services.Loop),
-      Targets(Services) {
+      Targets(Services), Evacuations(Services, Targets) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -42,8 +42,8 @@
   for (const fleet_collection Each : Followed)
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
   Targets.start();
-  CompareTimer = Services.Timers.every(ComparePeriod,
-                                       [this](instant) { compareWithPeers(); });
+  CompareTimer = Services.Timers.every(
+      ComparePeriod, [this](instant Now) { compareWithPeers(Now); });
 }
 
 void store_follower::setWatching(bool ShouldWatch) {
@@ -289,6 +289,7 @@
     OnVms(Items, IsList);
     break;
   case fleet_collection::Evacuations:
+    Evacuations.apply(Items, IsList);
     break;
   }
   return Changed;
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -13,6 +13,7 @@
 #include "coordination/registry/seen_revisions.h"
 #include "coordination/registry/types/store_messages.h"
 #include "transport/node/control_context.h"
+#include "transport/node/internal/evacuation_publisher.h"
 #include "transport/node/internal/store_archive.h"
 #include "transport/node/internal/target_publisher.h"
 #include "transport/platform/types/fleet_store.h"
@@ -117,7 +118,7 @@
   fleet_collection probedCollection() const;
   read_freshness freshnessFor(fleet_collection Collection) const;
   /// Lists a collection if changes that other VMs have read did not arrive.
-  void compareWithPeers();
+  void compareWithPeers(instant Now);
   /// Records that the history of the store reaches \p Position.
   void recordStorePosition(std::uint64_t Position);
   /// Marks for a list each collection that may lack a change of the store, as
@@ -161,6 +162,8 @@
   seen_revisions SeenRevisions;
   /// Highest position of the store that a call has shown.
   std::uint64_t StorePosition = 0;
+  /// When compareWithPeers() last ran.
+  instant LastComparison = instant::max();
   /// StorePosition at the last comparison.
   std::uint64_t ExpectedStorePosition = 0;
   /// Never expires; cancelled when the result of shouldQuery() may change.
@@ -168,6 +171,7 @@
   /// Delay before the next call while the store is unreachable.
   boost::asio::steady_timer RetryTimer;
   target_publisher Targets;
+  evacuation_publisher Evacuations;
   bool IsWatcher = false;
   bool IsReachable = false;
   instant KeysConfirmedAt{};
--- a/src/transport/node/internal/store_follower_peers.cpp
+++ b/src/transport/node/internal/store_follower_peers.cpp
@@ -21,6 +21,9 @@
 /// Wait after which a VM looks again whether there is a VM to ask.
 constexpr std::chrono::milliseconds NoPeerRetryDelay{100};
 
+/// Time without a comparison after which changes count as missed.
+constexpr std::chrono::milliseconds MaxComparisonGap{2'000};
+
 } // namespace
 
 bool store_follower::shouldAskPeers(fleet_collection Collection) const {
@@ -65,7 +68,7 @@
   ExpectedStorePosition = StorePosition;
 }
 
-void store_follower::compareWithPeers() {
+void store_follower::compareWithPeers(instant Now) {
   // Reports of other VMs may have become too old.
   if (!IsReachable)
     WakeTimer.cancel();
@@ -73,6 +76,11 @@
   for (const fleet_collection Each : Followed)
     NeededList[static_cast<std::size_t>(Each)] = syncOf(Each).needsList();
   compareWithStore();
+  // The process was stopped meanwhile and may have missed an evacuation.
+  if (follows(fleet_collection::Evacuations) &&
+      LastComparison < Now - MaxComparisonGap)
+    syncOf(fleet_collection::Evacuations).recordUndelivered();
+  LastComparison = Now;
   for (const fleet_collection Each : Followed) {
     collection_sync &Progress = syncOf(Each);
     Progress.compareWithPeers();
--- a/src/transport/node/internal/target_publisher.cpp
+++ b/src/transport/node/internal/target_publisher.cpp
@@ -1,5 +1,6 @@
 #include "transport/node/internal/target_publisher.h"
 
+#include "coordination/registry/evacuation_registry.h"
 #include "transport/logging/event_log.h"
 
 namespace peridot {
@@ -55,6 +56,13 @@
   expire(Now);
 }
 
+void target_publisher::setEvacuated(
+    std::shared_ptr<const data_center_set> DataCenters) {
+  Evacuated = std::move(DataCenters);
+  if (isListed())
+    publish();
+}
+
 void target_publisher::recordLeaving(std::span<const target_leaving> Leaving) {
   bool Changed = false;
   for (const target_leaving &Each : Leaving) {
@@ -95,15 +103,27 @@
 }
 
 void target_publisher::publish() {
-  const auto Table = std::make_shared<const target_table>(Registry.table());
-  Services.Snapshots.update(
-      [&](routing_snapshot &Snapshot) { Snapshot.RegisteredTargets = Table; });
+  if (Services.Settings.EvacuationBound && !Evacuated)
+    return;
+  target_table InForce = Registry.table();
+  const std::size_t Left = Evacuated ? removeEvacuated(InForce, *Evacuated) : 0;
+  const auto Table = std::make_shared<const target_table>(std::move(InForce));
+  // Both at once: a traffic thread chooses again while the target that it chose
+  // is evacuated.
+  Services.Snapshots.update([&](routing_snapshot &Snapshot) {
+    Snapshot.RegisteredTargets = Table;
+    Snapshot.Evacuated = Evacuated;
+  });
   std::size_t InUse = 0;
   for (const auto &[Service, Registered] : *Table)
     InUse += Registered.size();
   logEvent(log_level::Info, "targets-changed",
            {{"registered", static_cast<std::int64_t>(Registry.size())},
             {"in_use", static_cast<std::int64_t>(InUse)}});
+  if (InUse == 0 && Left > 0)
+    logEvent(log_level::Warning, "evacuation-left-no-target",
+             {{"targets", static_cast<std::int64_t>(Left)},
+              {"rule", "requests are refused as not run"}});
 }
 
 } // namespace peridot
--- a/src/transport/node/internal/target_publisher.h
+++ b/src/transport/node/internal/target_publisher.h
@@ -2,6 +2,7 @@
 /// Publishes the targets that registered in the platform's store.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <span>
 
@@ -25,6 +26,15 @@
   /// Sets since when the store has been available to at least one known VM;
   /// empty: it is available to none.
   void setStoreAvailableSince(std::optional<instant> Since, instant Now);
+  /// Leaves the targets of these data centres out from now on. With
+  /// node_settings::EvacuationBound no target is published before.
+  void setEvacuated(std::shared_ptr<const data_center_set> DataCenters);
+  /// Whether the targets have been listed.
+  bool isListed() const { return Position > 0; }
+  /// Returns the number of targets in a data centre, in use or not.
+  std::size_t countIn(const data_center_name &DataCenter) const {
+    return Registry.countIn(DataCenter);
+  }
 
 private:
   static void logLeaving(const target_leaving &Event);
@@ -35,6 +45,8 @@
 
   node_services &Services;
   target_registry Registry;
+  /// Null: unknown, or the fleet has no evacuations.
+  std::shared_ptr<const data_center_set> Evacuated;
   bool IsStoreAvailable = false; ///< To at least one known VM.
   std::uint64_t Position = 0;    ///< Of the last result in the store's history.
   timer_subscription ExpiryTimer;
