Test evacuations with real processes

Callers saw: nothing. The stand-in of the store counts calls by kind and can be silent for one kind; it served the kind already.

--- a/tests/stand_ins/object_platform/main.cpp
+++ b/tests/stand_ins/object_platform/main.cpp
@@ -30,8 +30,9 @@
 
 /// Faults that a test sets.
 struct store_faults {
-  bool IsDown = false;   ///< Responds 503.
-  bool IsSilent = false; ///< Sends no response to requests received now.
+  bool IsDown = false;    ///< Responds 503.
+  bool IsSilent = false;  ///< Sends no response to requests received now.
+  std::string SilentKind; ///< As IsSilent, for calls of one kind only.
   std::chrono::milliseconds Delay{0};
   /// Number of writes that are applied but get no response.
   unsigned ResponsesToLose = 0;
@@ -61,11 +62,12 @@
       co_return Result;
     }
     ++CallCount;
+    ++CallsByKind[parse(Target).first];
     if (!IsRead && Faults.HoldsWrites) {
       HeldWrites.push_back(Request);
       co_await pause(SilentDelay);
     }
-    co_await pause(Faults.IsSilent ? SilentDelay : Faults.Delay);
+    co_await pause(isSilentFor(Target) ? SilentDelay : Faults.Delay);
     if (Faults.IsDown) {
       Result.Response = textResponse(503, "{}");
     } else if (IsRead) {
@@ -80,6 +82,10 @@
   }
 
 private:
+  bool isSilentFor(const std::string &Target) const {
+    return Faults.IsSilent || parse(Target).first == Faults.SilentKind;
+  }
+
   task<void> pause(std::chrono::milliseconds Time) const {
     if (Time.count() == 0)
       co_return;
@@ -209,14 +215,18 @@
   }
 
   http_response handleAdminRequest(const std::string &Target) {
-    if (pathOf(Target) == "/admin/calls")
-      return textResponse(200, "{\"calls\":" + std::to_string(CallCount) + "}");
+    if (pathOf(Target) == "/admin/calls") {
+      const std::string Kind = queryValue(Target, "kind", "");
+      const auto Count = Kind.empty() ? CallCount : CallsByKind[Kind];
+      return textResponse(200, "{\"calls\":" + std::to_string(Count) + "}");
+    }
     if (pathOf(Target) == "/admin/peer_proxy") {
       PeerProxies[number(Target, "port")] = number(Target, "proxy");
       return textResponse(200, "");
     }
     Faults = {.IsDown = isSet(Target, "down"),
               .IsSilent = isSet(Target, "silent"),
+              .SilentKind = queryValue(Target, "silent_kind", ""),
               .Delay = std::chrono::milliseconds(
                   std::stoul(queryValue(Target, "delay_ms", "0"))),
               .ResponsesToLose = static_cast<unsigned>(
@@ -241,6 +251,7 @@
   /// kind). Watches started earlier get no events.
   std::map<std::string, unsigned> DeafGenerations;
   std::uint64_t CallCount = 0;
+  std::map<std::string, std::uint64_t> CallsByKind;
   /// By peer port of a VM: port of the proxy in front of it.
   std::map<unsigned, unsigned> PeerProxies;
 };
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -115,6 +115,15 @@
                           .Path = "/v1/objects/servers/" + Target.Target.Name});
 }
 
+void store_fleet::evacuate(const std::string &DataCenter) const {
+  put("/v1/objects/evacuations/" + DataCenter, R"({"spec":{}})");
+}
+
+void store_fleet::endEvacuation(const std::string &DataCenter) const {
+  httpCall(PlatformPort, {.Method = "DELETE",
+                          .Path = "/v1/objects/evacuations/" + DataCenter});
+}
+
 void store_fleet::removeVm(const store_node &Node) const {
   httpCall(PlatformPort, {.Method = "DELETE",
                           .Path = "/v1/objects/peridot-vms/" + Node.Node.Name});
@@ -190,6 +199,12 @@
                      "calls");
 }
 
+int store_fleet::platformCallCount(const std::string &Kind) const {
+  return jsonInteger(
+      httpCall(PlatformPort, {.Path = "/admin/calls?kind=" + Kind}).Body,
+      "calls");
+}
+
 client_response callWithKey(http_connection &Connection,
                             const std::string &Path, const std::string &Key,
                             const std::string &Id, const std::string &Body) {
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -60,6 +60,9 @@
   void registerTarget(const store_target &Target,
                       const std::string &State = "ready") const;
   void removeTarget(const store_target &Target) const;
+  /// Requests that a data centre is emptied, until endEvacuation().
+  void evacuate(const std::string &DataCenter) const;
+  void endEvacuation(const std::string &DataCenter) const;
   /// Removes a node's entry, whatever its revision.
   void removeVm(const store_node &Node) const;
   store_node &addNode(const std::string &Name, const std::string &DataCenter);
@@ -71,6 +74,8 @@
   /// Number of calls that the platform received from nodes; writes of operators
   /// and targets are not counted.
   int platformCallCount() const;
+  /// Number of such calls for objects of a kind.
+  int platformCallCount(const std::string &Kind) const;
 
   std::unique_ptr<process> Platform;
   std::uint16_t PlatformPort = 0;
