--- a/tests/integration/evacuation_test.cpp
+++ b/tests/integration/evacuation_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -225,6 +226,22 @@
   CHECK(contains(Refused.Body, "not-run"));
 }
 
+// A process that was stopped while the evacuation was relayed wakes with the
+// earlier targets in use.
+TEST_CASE_FIXTURE(evacuation_fixture,
+                  "node_stoppedMeanwhile_evacuatesSoonAfterwards") {
+  std::this_thread::sleep_for(3s);
+  for (const auto &Each : Nodes)
+    Each->Node.Process->signal(SIGSTOP);
+  evacuate("lakes-a");
+  std::this_thread::sleep_for(EvacuationBound);
+  for (const auto &Each : Nodes)
+    Each->Node.Process->signal(SIGCONT);
+  std::this_thread::sleep_for(1s);
+  startLoad(Nodes.size());
+  CHECK(!isInUse("lakes-a"));
+}
+
 // The watchers' watch may be silent; the other collections show the change.
 TEST_CASE_FIXTURE(evacuation_fixture,
                   "fleet_watchesReceiveNothing_evacuatedInTime") {
