Test an evacuation during an outage of the store

Callers saw: nothing. Change: a case in which the store goes away during an evacuation and the request is taken back meanwhile: it stays in force until the store is back.

--- a/tests/integration/evacuation_test.cpp
+++ b/tests/integration/evacuation_test.cpp
@@ -242,6 +242,24 @@
   CHECK(!isInUse("lakes-a"));
 }
 
+// Neither an outage nor a list that fails may end an evacuation.
+TEST_CASE_FIXTURE(evacuation_fixture,
+                  "fleet_storeDownDuringEvacuation_staysInForce") {
+  evacuate("lakes-a");
+  awaitEvacuated("\"lakes-a\"");
+  const std::string Before = arrivalsIn("lakes-a");
+  startLoad(Nodes.size());
+  setPlatformFaults("down=1");
+  for (const auto &Each : Nodes)
+    Each->Proxy->forgetConnections();
+  endEvacuation("lakes-a");
+  std::this_thread::sleep_for(2s);
+  CHECK(arrivalsIn("lakes-a") == Before);
+  CHECK(Served > 0);
+  setPlatformFaults("");
+  awaitCondition("use of the targets", [&] { return isInUse("lakes-a"); });
+}
+
 // The watchers' watch may be silent; the other collections show the change.
 TEST_CASE_FIXTURE(evacuation_fixture,
                   "fleet_watchesReceiveNothing_evacuatedInTime") {
