--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -65,6 +65,8 @@
     bool CallerDisconnected = false;
     /// Nothing was sent, as the target had become cold.
     bool IsWithheld = false;
+    /// The target's data centre was evacuated before anything was sent.
+    bool IsWithdrawn = false;
     /// The request was not sent to the target completely.
     bool IsRequestTruncated = false;
     unsigned Status = 0; ///< Status of the target's response; 0: none.
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -32,17 +32,20 @@
     : Services(Services), Store(Store), Peers(std::move(Peers)),
       OnTargets(std::move(OnTargets)), OnVms(std::move(OnVms)),
       OnChanges(std::move(OnChanges)), OnRead(std::move(OnRead)),
-      OnConfiguration(std::move(OnConfiguration)), Archive(Store),
-      WakeTimer(Services.Loop), RetryTimer(Services.Loop), Targets(Services) {
+      OnConfiguration(std::move(OnConfiguration)),
+      Followed(
+          followedCollections(Services.Settings.EvacuationBound.has_value())),
+      Archive(Store), WakeTimer(Services.Loop), RetryTimer(Services.Loop),
+      Targets(Services), Evacuations(Services, Targets) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
 void store_follower::start() {
-  for (const fleet_collection Each : AllCollections)
+  for (const fleet_collection Each : Followed)
     asio::co_spawn(Services.Loop, follow(Each), asio::detached);
   Targets.start();
-  CompareTimer = Services.Timers.every(ComparePeriod,
-                                       [this](instant) { compareWithPeers(); });
+  CompareTimer = Services.Timers.every(
+      ComparePeriod, [this](instant Now) { compareWithPeers(Now); });
 }
 
 void store_follower::setWatching(bool ShouldWatch) {
@@ -58,6 +61,10 @@
   WakeTimer.cancel();
 }
 
+bool store_follower::follows(fleet_collection Collection) const {
+  return std::ranges::find(Followed, Collection) != Followed.end();
+}
+
 fleet_collection store_follower::probedCollection() const {
   return position(fleet_collection::Vms) == 0 ? fleet_collection::Vms
                                               : fleet_collection::Configuration;
@@ -136,9 +143,9 @@
 }
 
 void store_follower::setStoreUnreachable() {
-  for (const fleet_collection Each :
-       {fleet_collection::Configuration, fleet_collection::Targets})
-    syncOf(Each).recordFailure();
+  for (const fleet_collection Each : Followed)
+    if (Each != fleet_collection::Vms)
+      syncOf(Each).recordFailure();
   updateReachability(false);
 }
 
@@ -284,6 +291,9 @@
   case fleet_collection::Vms:
     OnVms(Items, IsList);
     break;
+  case fleet_collection::Evacuations:
+    Evacuations.apply(Items, IsList);
+    break;
   }
   return Changed;
 }
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <functional>
 #include <optional>
+#include <span>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -12,6 +13,7 @@
 #include "coordination/registry/seen_revisions.h"
 #include "coordination/registry/types/store_messages.h"
 #include "transport/node/control_context.h"
+#include "transport/node/internal/evacuation_publisher.h"
 #include "transport/node/internal/store_archive.h"
 #include "transport/node/internal/target_publisher.h"
 #include "transport/platform/types/fleet_store.h"
@@ -111,13 +113,14 @@
   task<bool> fetchFromPeers(fleet_collection Collection);
   /// Waits until shouldQuery() holds for a collection.
   task<void> waitUntilQueryNeeded(fleet_collection Collection);
+  bool follows(fleet_collection Collection) const;
   /// Whether this VM itself has to call the store for a collection.
   bool shouldQuery(fleet_collection Collection) const;
   /// The collection whose calls show whether the store is reachable.
   fleet_collection probedCollection() const;
   read_freshness freshnessFor(fleet_collection Collection) const;
   /// Lists a collection if changes that other VMs have read did not arrive.
-  void compareWithPeers();
+  void compareWithPeers(instant Now);
   /// Records that the history of the store reaches \p Position.
   void recordStorePosition(std::uint64_t Position);
   /// Marks for a list each collection that may lack a change of the store, as
@@ -148,15 +151,22 @@
   changes_callback OnChanges;
   read_callback OnRead;
   configuration_callback OnConfiguration;
-  std::array<collection_sync, 3> Sync; ///< Indexed by fleet_collection.
-  std::array<bool, 3> IsWatching{};    ///< Whether a watch is open.
+  /// The collections that this VM follows.
+  std::span<const fleet_collection> Followed;
+  /// Indexed by fleet_collection.
+  std::array<collection_sync, AllCollections.size()> Sync;
+  /// Whether a watch is open, by collection.
+  std::array<bool, AllCollections.size()> IsWatching{};
   store_archive Archive;
   /// Timers of fetchFromPeers(), by collection; null while it does not wait.
-  std::array<boost::asio::steady_timer *, 3> SnapshotWaits{};
+  std::array<boost::asio::steady_timer *, AllCollections.size()>
+      SnapshotWaits{};
   /// Changes that were read, of all collections.
   seen_revisions SeenRevisions;
   /// Highest position of the store that a call has shown.
   std::uint64_t StorePosition = 0;
+  /// When compareWithPeers() last ran.
+  instant LastComparison = instant::max();
   /// StorePosition at the last comparison.
   std::uint64_t ExpectedStorePosition = 0;
   /// Never expires; cancelled when the result of shouldQuery() may change.
@@ -164,6 +174,7 @@
   /// Delay before the next call while the store is unreachable.
   boost::asio::steady_timer RetryTimer;
   target_publisher Targets;
+  evacuation_publisher Evacuations;
   bool IsWatcher = false;
   bool IsReachable = false;
   instant KeysConfirmedAt{};
--- a/src/transport/node/internal/store_follower_peers.cpp
+++ b/src/transport/node/internal/store_follower_peers.cpp
@@ -21,6 +21,9 @@
 /// Wait after which a VM looks again whether there is a VM to ask.
 constexpr std::chrono::milliseconds NoPeerRetryDelay{100};
 
+/// Time without a comparison after which changes count as missed.
+constexpr std::chrono::milliseconds MaxComparisonGap{2'000};
+
 } // namespace
 
 bool store_follower::shouldAskPeers(fleet_collection Collection) const {
@@ -58,22 +61,27 @@
 void store_follower::compareWithStore() {
   // The configuration is read again anyway, to confirm the keys.
   if (IsWatcher)
-    for (const fleet_collection Each :
-         {fleet_collection::Targets, fleet_collection::Vms})
-      if (!SeenRevisions.coverRange(position(Each), ExpectedStorePosition))
+    for (const fleet_collection Each : Followed)
+      if (Each != fleet_collection::Configuration &&
+          !SeenRevisions.coverRange(position(Each), ExpectedStorePosition))
         syncOf(Each).recordUndelivered();
   ExpectedStorePosition = StorePosition;
 }
 
-void store_follower::compareWithPeers() {
+void store_follower::compareWithPeers(instant Now) {
   // Reports of other VMs may have become too old.
   if (!IsReachable)
     WakeTimer.cancel();
   std::array<bool, AllCollections.size()> NeededList{};
-  for (const fleet_collection Each : AllCollections)
+  for (const fleet_collection Each : Followed)
     NeededList[static_cast<std::size_t>(Each)] = syncOf(Each).needsList();
   compareWithStore();
-  for (const fleet_collection Each : AllCollections) {
+  // The process was stopped meanwhile and may have missed an evacuation.
+  if (follows(fleet_collection::Evacuations) &&
+      LastComparison < Now - MaxComparisonGap)
+    syncOf(fleet_collection::Evacuations).recordUndelivered();
+  LastComparison = Now;
+  for (const fleet_collection Each : Followed) {
     collection_sync &Progress = syncOf(Each);
     Progress.compareWithPeers();
     if (NeededList[static_cast<std::size_t>(Each)] || !Progress.needsList())
@@ -97,7 +105,8 @@
 
 void store_follower::applyRelayed(const store_changes &Changes) {
   // Every watcher sends each change; only the first copy is decoded.
-  if (position(Changes.Collection) >= Changes.Range.Position)
+  if (!follows(Changes.Collection) ||
+      position(Changes.Collection) >= Changes.Range.Position)
     return;
   const auto Document =
       Archive.unpackChanges(Changes.Collection, Changes.Document);
@@ -127,7 +136,8 @@
 
 void store_follower::applySnapshot(const store_snapshot &Snapshot) {
   collection_sync &Progress = syncOf(Snapshot.Collection);
-  if (!Progress.needsList() || !Progress.accepts(Snapshot.Position))
+  if (!follows(Snapshot.Collection) || !Progress.needsList() ||
+      !Progress.accepts(Snapshot.Position))
     return;
   const auto Document = unpackDocument(Snapshot.Document);
   const auto Items =
