Pass on no response that a target cut or whose status is invalid

Callers received as complete: - the start of a 200 without a length, when the target reset the connection while the upload was being written, or closed it before it had read the upload (tried with a target that does so while the process stands still); - statuses 000, 001, 099, 600 and 999, and 101 although no other protocol was asked for, also where they stood in place of an interim response; - a response without a length from a target with HTTP/1.0 as HTTP/1.0 in chunks.

Cause: a write that fails takes the error of the socket, and the next read reports a regular end, which completes a body that ends with the connection. The parser accepts any three digits as a status.

Change: an end of the connection counts only if the system knows of no reset. A response that ends with the connection is refused if the request was not sent completely. Statuses other than interim ones and 200 to 599 are broken responses: 502, or another target where the request may be repeated. Responses to callers have the VM's own version.

The other integration tests were not run.

--- a/src/transport/callers/internal/body_relay.h
+++ b/src/transport/callers/internal/body_relay.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "transport/callers/internal/connection_state.h"
 #include "transport/callers/internal/relay_watch.h"
 #include "transport/callers/internal/request_progress.h"
 
@@ -88,7 +89,11 @@
         Buffer.prepare(RelayBufferBytes), UseTaskTuple);
     Buffer.commit(Count);
     Error = ReadError;
-    if (ReadError == boost::asio::error::eof)
+    // After a write has reported a reset, reads report a regular end. A body
+    // that ends with the connection would look complete.
+    if (ReadError == boost::asio::error::eof && isReset(From))
+      Error = boost::asio::error::connection_reset;
+    else if (ReadError == boost::asio::error::eof)
       Source.put_eof(Error);
     else if (!ReadError)
       Error = parseReceived(Buffer, Source);
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -36,6 +36,18 @@
          http::int_to_status(Status) != http::status::switching_protocols;
 }
 
+/// Whether a status ends a request. The parser accepts any three digits; 101
+/// is invalid as the fields that ask for another protocol are not forwarded.
+bool isFinal(unsigned Status) {
+  constexpr unsigned MinFinalStatus = 200;
+  constexpr unsigned MaxStatus = 599;
+  return Status >= MinFinalStatus && Status <= MaxStatus;
+}
+
+/// HTTP version of responses to callers. Clients of earlier versions know no
+/// chunks, so the target's version must not be forwarded.
+constexpr unsigned ResponseVersion = 11;
+
 } // namespace
 
 task<boost::system::error_code> request_relay::readResponseHead(
@@ -59,6 +71,8 @@
       ++InterimResponses;
       continue;
     }
+    if (!isFinal(Response->get().result_int()))
+      co_return make_error_code(http::error::bad_status);
     const auto Echo = Response->get()[toBeast(Dialect.AttemptField)];
     if (!Service.EchoesAttemptId || Echo == Result.AttemptId)
       co_return boost::system::error_code{};
@@ -121,6 +135,10 @@
   Result.Progress = attempt_progress::ResponseStarted;
   if (!Result.Report.Genuine)
     co_return make_error_code(boost::system::errc::bad_message);
+  // The target gave up the connection before it had read the request, so its
+  // end does not tell whether the response is complete.
+  if (Result.IsRequestTruncated && Response->need_eof())
+    co_return make_error_code(http::error::partial_message);
   const auto Length = Response->content_length();
   if (Length)
     Result.ResponseBytes = *Length;
@@ -150,6 +168,7 @@
   http::response<http::string_body> Forwarded(std::move(Buffered.Head),
                                               std::move(Buffered.Body));
   prepareForCaller(Forwarded, Worker.dialect());
+  Forwarded.version(ResponseVersion);
   SentKeepAlive = canKeepCallerConnection();
   Forwarded.keep_alive(SentKeepAlive);
   CallerGotBytes = true;
@@ -169,6 +188,7 @@
                                  attempt_result &Result) {
   http::response<http::buffer_body> Forwarded(Response.get().base());
   prepareForCaller(Forwarded, Worker.dialect());
+  Forwarded.version(ResponseVersion);
   // A response that ends when the target closes the connection has no length,
   // so it is sent to the caller in chunks.
   if (!Response.is_done() && !Response.content_length() && !Response.chunked())
--- a/src/transport/callers/internal/relay_watch.cpp
+++ b/src/transport/callers/internal/relay_watch.cpp
@@ -2,27 +2,13 @@
 
 #include <utility>
 
-#include <poll.h>
-
 #include "state/base/types/overloaded.h"
+#include "transport/callers/internal/connection_state.h"
 
 namespace peridot {
 
 namespace {
 
-/// Whether the connection was reset or has failed.
-bool isReset(tcp_stream &Stream) {
-  pollfd State{.fd = Stream.socket().native_handle(), .events = 0};
-  return ::poll(&State, 1, 0) > 0 && (State.revents & (POLLERR | POLLHUP));
-}
-
-/// Whether the peer's sending side has ended and no bytes are left to read.
-bool hasSendingEnded(tcp_stream &Stream) {
-  char Byte = 0;
-  return ::recv(Stream.socket().native_handle(), &Byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /// Sends an interim response, which any client that is still there ignores.
 void probe(tcp_stream &Stream) {
   constexpr std::string_view Interim = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/tests/support/faulty_target_fixture.cpp
+++ b/tests/support/faulty_target_fixture.cpp
@@ -11,7 +11,8 @@
 
 } // namespace
 
-void faulty_target_fixture::addScriptedTarget(scripted_target::script Script) {
+void faulty_target_fixture::addScriptedTarget(scripted_target::script Script,
+                                              int Names) {
   Scripted = std::make_unique<scripted_target>(
       [Run = std::move(Script)](scripted_connection &Connection) {
         if (!Connection.readUntil("\r\n\r\n"))
@@ -21,14 +22,18 @@
         else
           Run(Connection);
       });
-  std::ofstream(folder() + "/services/raw.toml")
-      << "service = \"raw\"\nechoes_attempt_id = true\n"
-         "[[route]]\npath = \"/raw\"\nopen = true\ndeadline_ms = 1000\n"
-         "[[route]]\npath = \"/raw-again\"\nopen = true\n"
-         "repeatable = true\ndeadline_ms = 1000\n"
-         "[[target]]\nname = \"raw-1\"\ndata_center = \"lakes-a\"\n"
-         "address = \"127.0.0.1\"\nport = "
-      << Scripted->port() << "\n";
+  std::ofstream File(folder() + "/services/raw.toml");
+  File << "service = \"raw\"\nechoes_attempt_id = true\n"
+          "[[route]]\npath = \"/raw\"\nopen = true\ndeadline_ms = 1000\n"
+          "[[route]]\npath = \"/raw-again\"\nopen = true\n"
+          "repeatable = true\ndeadline_ms = 1000\n"
+          "[[route]]\npath = \"/raw-upload\"\nopen = true\n"
+          "deadline_ms = 20000\n";
+  for (int Name = 1; Name <= Names; ++Name)
+    File << "[[target]]\nname = \"raw-" << Name
+         << "\"\ndata_center = \"lakes-a\"\naddress = \"127.0.0.1\"\nport = "
+         << Scripted->port() << "\n";
+  File.close();
   publish("scripted target");
   awaitRevision(2);
   awaitCondition("the route /raw in the traffic threads", [&] {
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -51,6 +51,10 @@
   return !Error;
 }
 
+void scripted_connection::endSending() {
+  ::shutdown(Impl.Socket.native_handle(), SHUT_WR);
+}
+
 void scripted_connection::reset() {
   boost::system::error_code Ignored;
   Impl.Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -20,6 +20,8 @@
   void readToEnd();
   /// \returns false if the peer has closed the connection.
   bool send(const std::string &Bytes);
+  /// Closes the sending side; the target reads no more either.
+  void endSending();
   /// Closes the connection with a reset instead of its regular end.
   void reset();
   /// All bytes received so far.
