Serve waiting requests by urgency where priorities differ

What callers saw: at a service that is short of capacity, requests of urgent accounts and routes waited as long as all others, and a request that could not run in time was refused only after half of its deadline.

Cause: service_queues served accounts in turns whatever their priority. It counted only targets that the configuration declares, so that with registered targets nothing waited at all, and visited each target by name for each request.

Change: the module coordination/capacity has the order of service. Where routes or accounts of a service declare different priorities, requests are served by the account's priority, the route's, whether the target latency can still be met, the account's turn and the time already waited, which follows from the deadline that the caller leaves. A request that cannot run in time, by the requests ahead and the rate of completions, is rejected on arrival; a full queue rejects the least urgent. No account or route falls below a part of the served fraction of all. With one priority the order is as before. Gauges show requests waiting, slots and slots used; two log lines tell when capacity is short and when it is sufficient again.

--- a/src/coordination/limits/fair_queue.h
+++ b/src/coordination/limits/fair_queue.h
@@ -60,6 +60,10 @@
   /// Removes and returns all requests whose deadline has passed.
   std::vector<queue_ticket> expire(instant Now);
 
+  /// Returns about how many waiting requests would be served before a new one
+  /// of \p Account.
+  std::size_t countAhead(const account_name &Account, unsigned Weight) const;
+
   std::size_t size() const { return Count; }
 
 private:
--- a/src/coordination/limits/internal/fair_queue.cpp
+++ b/src/coordination/limits/internal/fair_queue.cpp
@@ -49,6 +49,19 @@
   return queue_displaced{Refused};
 }
 
+std::size_t fair_queue::countAhead(const account_name &Account,
+                                   unsigned Weight) const {
+  const auto Own = QueuesByAccount.find(Account);
+  const std::size_t OwnCount =
+      Own == QueuesByAccount.end() ? 0 : Own->second->Waiting.size();
+  const std::size_t Rounds = OwnCount / std::max(1U, Weight) + 1;
+  std::size_t Ahead = OwnCount;
+  for (const account_queue &Each : Queues)
+    if (Each.Account != Account)
+      Ahead += std::min(Each.Waiting.size(), Rounds * Each.Weight);
+  return Ahead;
+}
+
 std::optional<queue_ticket> fair_queue::dequeue() {
   if (Queues.empty())
     return std::nullopt;
--- a/src/protocol/http/internal/metrics_text.cpp
+++ b/src/protocol/http/internal/metrics_text.cpp
@@ -1,11 +1,13 @@
 #include "protocol/http/metrics_text.h"
 
+#include <concepts>
+
 namespace peridot {
 
 namespace {
 
 void appendLine(std::string &Out, std::string_view Metric,
-                std::string_view Labels, std::uint64_t Value) {
+                std::string_view Labels, std::integral auto Value) {
   Out.append(Metric);
   if (!Labels.empty())
     Out.append("{").append(Labels).append("}");
@@ -41,6 +43,8 @@
   std::string Out;
   for (const counter_reading &Reading : Registry.readCounters())
     appendLine(Out, Reading.Name.Metric, Reading.Name.Labels, Reading.Value);
+  for (const gauge_reading &Reading : Registry.readGauges())
+    appendLine(Out, Reading.Name.Metric, Reading.Name.Labels, Reading.Value);
   for (const auto &[Name, Histogram] : Registry.histograms())
     appendHistogram(Out, Name, *Histogram);
   return Out;
--- a/src/state/metrics/internal/metrics_registry.cpp
+++ b/src/state/metrics/internal/metrics_registry.cpp
@@ -53,6 +53,12 @@
   return getOrCreate<counter>(Counters, Metric, Labels);
 }
 
+gauge &metrics_registry::getOrCreateGauge(std::string_view Metric,
+                                          std::string_view Labels) {
+  const std::lock_guard Lock(Mutex);
+  return getOrCreate<gauge>(Gauges, Metric, Labels);
+}
+
 latency_histogram &
 metrics_registry::getOrCreateHistogram(std::string_view Metric,
                                        std::string_view Labels) {
@@ -69,6 +75,15 @@
   return Readings;
 }
 
+std::vector<gauge_reading> metrics_registry::readGauges() const {
+  const std::lock_guard Lock(Mutex);
+  std::vector<gauge_reading> Readings;
+  Readings.reserve(Gauges.size());
+  for (const auto &[Name, Gauge] : Gauges)
+    Readings.push_back({Name, Gauge->value()});
+  return Readings;
+}
+
 std::vector<std::pair<series_name, const latency_histogram *>>
 metrics_registry::histograms() const {
   const std::lock_guard Lock(Mutex);
--- a/src/state/metrics/metrics_registry.h
+++ b/src/state/metrics/metrics_registry.h
@@ -1,5 +1,5 @@
 /// \file
-/// Counters and latency histograms of this process.
+/// Counters, gauges and latency histograms of this process.
 #pragma once
 
 #include <array>
@@ -27,6 +27,19 @@
   std::atomic<std::uint64_t> Value{0};
 };
 
+/// A value that rises and falls; thread-safe. Threads that share one add
+/// changes, so that it shows the sum of their values.
+class gauge {
+public:
+  void add(std::int64_t Change) {
+    Value.fetch_add(Change, std::memory_order_relaxed);
+  }
+  std::int64_t value() const { return Value.load(std::memory_order_relaxed); }
+
+private:
+  std::atomic<std::int64_t> Value{0};
+};
+
 /// Histogram whose first bucket ends at 16 microseconds; each further bound is
 /// twice the one before. Thread-safe.
 class latency_histogram {
@@ -66,6 +79,12 @@
   std::uint64_t Value = 0;
 };
 
+/// Value of one gauge when the registry was read.
+struct gauge_reading {
+  series_name Name;
+  std::int64_t Value = 0;
+};
+
 /// Owns all time series of the process; thread-safe.
 class metrics_registry {
 public:
@@ -73,10 +92,13 @@
   /// registry's lifetime.
   counter &getOrCreateCounter(std::string_view Metric,
                               std::string_view Labels = "");
+  gauge &getOrCreateGauge(std::string_view Metric,
+                          std::string_view Labels = "");
   latency_histogram &getOrCreateHistogram(std::string_view Metric,
                                           std::string_view Labels = "");
 
   std::vector<counter_reading> readCounters() const;
+  std::vector<gauge_reading> readGauges() const;
   /// Histograms sorted by name; pointers stay valid for the registry's
   /// lifetime.
   std::vector<std::pair<series_name, const latency_histogram *>>
@@ -85,6 +107,7 @@
 private:
   mutable std::mutex Mutex;
   std::map<series_name, std::unique_ptr<counter>> Counters;
+  std::map<series_name, std::unique_ptr<gauge>> Gauges;
   std::map<series_name, std::unique_ptr<latency_histogram>> Histograms;
 };
 
--- a/src/state/metrics/tests/metrics_registry_test.cpp
+++ b/src/state/metrics/tests/metrics_registry_test.cpp
@@ -22,3 +22,11 @@
   Registry.getOrCreateCounter("a", "x=\"1\"").add();
   CHECK(Registry.readCounters().at(0).Value == 3);
 }
+
+// Guards against a gauge that shows only one traffic thread's value.
+TEST_CASE("readGauges_changesOfTwoThreads_sumOfBoth") {
+  metrics_registry Registry;
+  Registry.getOrCreateGauge("a").add(5);
+  Registry.getOrCreateGauge("a").add(-2);
+  CHECK(Registry.readGauges().at(0).Value == 3);
+}
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -345,6 +345,17 @@
                            " ms, before the request would have ended"};
 }
 
+request_times caller_session::timesOf(const admitted_request &Admitted,
+                                      instant StartedAt) const {
+  const instant Now = bootNow();
+  const duration Timeout =
+      requestTimeout(*Parser, Worker.dialect(), *Admitted.Route);
+  return {.ArrivedAt = Now,
+          .TimeLeft = Timeout - (Now - StartedAt),
+          .TypicalLatency =
+              Worker.routeStatistics().typicalLatency(*Admitted.Route)};
+}
+
 task<bool> caller_session::forward(const admitted_request &Admitted,
                                    snapshot_ptr Snapshot) {
   const request_meters Meters =
@@ -359,7 +370,8 @@
     }
   }
   Progress.enter(request_step::Slot);
-  const auto Slot = co_await Worker.queues().acquireSlot(Admitted, Snapshot);
+  const auto Slot = co_await Worker.queues().acquireSlot(
+      {.Admitted = Admitted, .Times = timesOf(Admitted, StartedAt)}, Snapshot);
   if (const auto *Refused = std::get_if<refusal>(&Slot)) {
     Meters.record(request_end::NotRun, bootNow() - StartedAt);
     co_return co_await refuse(*Refused);
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <optional>
 
+#include "coordination/capacity/urgency.h"
 #include "coordination/routing/admission.h"
 #include "transport/callers/internal/relay_watch.h"
 #include "transport/callers/internal/request_progress.h"
@@ -59,6 +60,10 @@
   /// is about to end.
   bool mayWaitHere() const;
   task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
+  /// Returns what is known of the times of a request that began to be served
+  /// at \p StartedAt.
+  request_times timesOf(const admitted_request &Admitted,
+                        instant StartedAt) const;
   /// \returns a refusal if the VM is leaving and the request would probably
   /// not end before.
   std::optional<refusal> checkShutdown(const admitted_request &Admitted) const;
--- a/src/transport/callers/internal/service_queue.h
+++ b/src/transport/callers/internal/service_queue.h
@@ -11,9 +11,12 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "coordination/limits/fair_queue.h"
+#include "coordination/capacity/capacity_shortage.h"
+#include "coordination/capacity/completion_rate.h"
+#include "coordination/capacity/request_queue.h"
 #include "coordination/load_balancing/target_pauses.h"
 #include "coordination/routing/admission.h"
+#include "state/metrics/metrics_registry.h"
 #include "transport/runtime/asio_types.h"
 
 namespace peridot {
@@ -39,17 +42,24 @@
 /// Either a slot, with which the request may run, or a refusal.
 using slot_result = std::variant<service_slot, refusal>;
 
+/// A request that needs a slot.
+struct slot_request {
+  admitted_request Admitted;
+  request_times Times;
+};
+
 /// Queues of all services; used on the traffic thread only.
 class service_queues {
 public:
-  /// \p Pauses must outlive the queues.
-  explicit service_queues(const target_pauses &Pauses) : Pauses(Pauses) {}
+  /// \p Pauses and \p Metrics must outlive the queues.
+  service_queues(const target_pauses &Pauses, metrics_registry &Metrics)
+      : Pauses(Pauses), Metrics(Metrics) {}
 
   /// Waits until the service has a free slot for the request. Refuses it with
   /// QueueFull (not-run) if it does not fit in the queue, is displaced from
-  /// the queue or waits too long, and with ShuttingDown after stopWaiting().
-  task<slot_result> acquireSlot(admitted_request Admitted,
-                                snapshot_ptr Snapshot);
+  /// the queue, cannot run in time or waits too long, and with ShuttingDown
+  /// after stopWaiting().
+  task<slot_result> acquireSlot(slot_request Request, snapshot_ptr Snapshot);
 
   /// Refuses all waiting requests and each later one that would have to wait.
   void stopWaiting();
@@ -58,31 +68,69 @@
   void close();
 
 private:
-  enum class wait_result { Pending, Served, Refused, Stopped };
+  enum class wait_result { Pending, Served, Full, TooLate, Stopped };
   struct waiter {
     explicit waiter(const loop_executor &Executor) : Timer(Executor) {}
 
     boost::asio::steady_timer Timer;
     wait_result End = wait_result::Pending;
   };
+  /// A gauge and this thread's part of its value.
+  struct shared_gauge {
+    gauge *Gauge = nullptr;
+    std::int64_t Value = 0;
+
+    void show(std::size_t Next);
+  };
   struct queue {
-    fair_queue Waiting{fair_queue_options{}};
+    service_name Service;
+    request_queue Waiting;
     std::map<queue_ticket, std::shared_ptr<waiter>> Waiters;
+    completion_rate Completions;
+    capacity_shortage Shortage;
     std::size_t RunningRequests = 0;
-    std::size_t Capacity = 0;
+    std::size_t Capacity = 0; ///< 0: not limited.
+    /// Whether requests that cannot run in time are rejected on arrival.
+    bool RejectsEarly = false;
     std::uint64_t LastTicket = 0;
+    /// What the next two members were computed from.
+    std::weak_ptr<const routing_snapshot> Snapshot;
+    std::size_t ServingSlots = 0; ///< Of targets that get requests.
+    bool HasPriorities = false;
+    shared_gauge WaitingGauge;
+    shared_gauge SlotsGauge;
+    shared_gauge UsedSlotsGauge;
   };
 
-  void wake(queue &Queue, queue_ticket Ticket, wait_result End);
-  void release(queue &Queue);
+  queue &getOrCreate(const service &Service);
+  /// Adapts capacity and order to the snapshot and to the pauses of targets.
+  void update(queue &Queue, const service &Service,
+              const snapshot_ptr &Snapshot);
   /// Number of requests that the targets of a service may run at once.
-  std::size_t slotsOf(const service &Service,
+  std::size_t slotsOf(const queue &Queue, const service &Service,
                       const routing_snapshot &Snapshot) const;
+  /// Lets the request wait until it is served or rejected.
+  task<wait_result> wait(queue &Queue, slot_request Request);
+  void wake(queue &Queue, queue_ticket Ticket, wait_result End);
+  /// Lets the next waiting request run; there must be a free slot for it.
+  /// \returns false if none waits.
+  bool serveNext(queue &Queue);
+  void release(queue &Queue, instant TakenAt);
+  /// Lets waiting requests run while there are free slots.
+  void serveWaiting(queue &Queue);
   /// Lets all waiting requests go on, as no target can take them.
   void wakeAll(queue &Queue);
-  service_slot takeSlot(queue &Queue);
+  /// Returns a slot that is already counted as occupied.
+  service_slot makeSlot(queue &Queue);
+  /// Counts and logs a rejected request.
+  refusal reject(queue &Queue, wait_result Cause);
+  /// Logs the end of a shortage of capacity.
+  void logShortageEnd(queue &Queue);
+  /// Updates the gauges of the service.
+  static void showValues(queue &Queue);
 
   const target_pauses &Pauses;
+  metrics_registry &Metrics;
   bool IsClosed = false;
   bool HasStoppedWaiting = false;
   /// Entries are never erased, as slots refer to them.
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -43,7 +43,8 @@
       LoadBalancer(Options.LoadBalancing
                        ? std::optional<load_balancer>(*Options.LoadBalancing)
                        : std::nullopt),
-      Meters(Metrics), Queues(std::make_unique<service_queues>(Pauses)),
+      Meters(Metrics),
+      Queues(std::make_unique<service_queues>(Pauses, Metrics)),
       RunningRequests(std::make_unique<running_requests>()),
       ResponseBuffers(Options.ResponseBuffers),
       Loop(ThreadName, logHandlerFailure), Acceptor(Loop.context()),
