Tell rejected callers their place in a line

What callers saw: Retry-After of a 429 was the time of one token, 5 ms in the median, for all 640 callers that were rejected in a second; that of a full queue was 1 s for all. They came back together and were rejected again.

Cause: Retry-After did not depend on how many callers had been rejected before.

Change: return_line keeps one position for each account and, for 503, each service. The n-th rejected caller comes back after about n divided by the rate that this VM can expect: its share of the limit, an even part of a limit that its primary keeps whole, or the rate of completions, after the backlog. This applies where limits are divided among hosts, which is with the store's control plane.

--- a/src/coordination/capacity/internal/served_fractions.cpp
+++ b/src/coordination/capacity/internal/served_fractions.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Age at which a request counts 1/e.
-constexpr std::chrono::duration<double> CountedTime{10.0};
 /// Part of the served fraction of all requests that each account and route is
 /// guaranteed. More than the quarter that is promised, as a source is served
 /// only after it has fallen below.
--- a/src/coordination/capacity/served_fractions.h
+++ b/src/coordination/capacity/served_fractions.h
@@ -12,11 +12,16 @@
 /// Counts in which a request weighs less with its age.
 class aged_count {
 public:
+  /// \param CountedTime age at which a request counts 1/e.
+  explicit aged_count(std::chrono::duration<double> CountedTime)
+      : CountedTime(CountedTime) {}
+
   /// Adds \p Amount after aging the count.
   void add(double Amount, instant Now);
   double value(instant Now) const;
 
 private:
+  std::chrono::duration<double> CountedTime;
   double Count = 0;
   instant CountedAt{};
 };
@@ -38,9 +43,11 @@
   bool isOwed(const request_source &Source, instant Now) const;
 
 private:
+  /// Age at which a request counts 1/e.
+  static constexpr std::chrono::seconds CountedTime{10};
   struct counts {
-    aged_count Arrived;
-    aged_count Served;
+    aged_count Arrived{CountedTime};
+    aged_count Served{CountedTime};
   };
 
   bool isOwed(const counts &Counts, instant Now) const;
--- a/src/coordination/hosting/account_buckets.h
+++ b/src/coordination/hosting/account_buckets.h
@@ -85,6 +85,7 @@
     token_bucket OwnShare;
     token_bucket Reserve;
     rate_limit AccountLimit;
+    double ExpectedPerSecond = 0;
     vm_name Primary;
     primary_responses Granted;
     primary_responses Denied;
--- a/src/coordination/hosting/demand_shares.h
+++ b/src/coordination/hosting/demand_shares.h
@@ -78,7 +78,10 @@
   /// without such a window.
   double ReserveBurstPerWindow = 0;
   rate_limit AccountLimit; ///< Over all VMs.
-  vm_name Primary;         ///< Empty while no stable host is known.
+  /// Rate that this VM can expect to admit: its share, or an even part of a
+  /// limit that its primary keeps whole.
+  double ExpectedPerSecond = 0;
+  vm_name Primary; ///< Empty while no stable host is known.
   /// Part of the limit that is due to this VM, as a share or as the reserve,
   /// but not in use until all hosts are known to use less; in requests per
   /// second.
--- a/src/coordination/hosting/internal/account_buckets.cpp
+++ b/src/coordination/hosting/internal/account_buckets.cpp
@@ -102,6 +102,7 @@
       Bucket.Denied.age();
     }
     Bucket.AccountLimit = Share.AccountLimit;
+    Bucket.ExpectedPerSecond = Share.ExpectedPerSecond;
     Bucket.Primary = Share.Primary;
     Bucket.OwnShare.configure(Share.Limit, Share.InitialTokens, Now);
     Bucket.Reserve.configure(Share.Reserve, Share.InitialReserveTokens, Now);
@@ -136,6 +137,7 @@
   const double Seconds = (1 - OwnShare.Tokens) / std::max(Rate, MinRate);
   return rate_refused{.RetryAfter = std::chrono::milliseconds(
                           static_cast<std::int64_t>(Seconds * 1'000) + 1),
+                      .ExpectedPerSecond = Bucket.ExpectedPerSecond,
                       .ShareRequested =
                           Check != rate_check::Poll || !Bucket.Denied.take(),
                       .Share = OwnShare.Limit,
--- a/src/coordination/hosting/internal/demand_shares.cpp
+++ b/src/coordination/hosting/internal/demand_shares.cpp
@@ -244,6 +244,9 @@
                              .AccountLimit = Account.Limit,
                              .Primary =
                                  primaryOf(Account.Name, Vms.StableHosts)};
+    const double EvenPart = DueReserve / Vms.hostCount();
+    Each.ExpectedPerSecond =
+        Account.Limit.RequestsPerSecond * (DueShare + EvenPart);
     const double StartTokens = startTokens(Account.Limit, Vms, Now);
     Each.Limit.Burst = std::max(Each.Limit.Burst, StartTokens);
     Each.InitialTokens = std::max(Each.InitialTokens, StartTokens);
--- a/src/coordination/limits/types/rate_decision.h
+++ b/src/coordination/limits/types/rate_decision.h
@@ -16,6 +16,9 @@
 struct rate_refused {
   /// Time until a token is expected.
   std::chrono::milliseconds RetryAfter{0};
+  /// Requests per second of the account that this VM can expect to admit on
+  /// one traffic thread; zero: unknown.
+  double ExpectedPerSecond = 0;
   /// Whether this VM has requested a share, so that a short wait is worthwhile.
   /// The next three members apply only then.
   bool ShareRequested = false;
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -318,7 +318,7 @@
     if (auto Late = checkShutdown(Admitted))
       co_return Late;
     if (!Wait.shouldContinue(*Refused, bootNow()))
-      co_return rateExceeded(Account, *Refused);
+      co_return refuseRate(Admitted, *Refused);
     Delay.expires_after(Refused->PollInterval);
     co_await Delay.async_wait(UseTaskTuple);
     Rate = Worker.takeRate(Account, Wait.nextCheck(*Refused, bootNow()));
@@ -326,6 +326,19 @@
   co_return std::nullopt;
 }
 
+refusal caller_session::refuseRate(const admitted_request &Admitted,
+                                   const rate_refused &Refused) {
+  refusal Refusal = rateExceeded(*Admitted.Account, Refused);
+  if (Refused.ExpectedPerSecond > 0)
+    Refusal.RetryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+        Worker.rateReturns(Admitted.Account->Name)
+            .join({.Class = urgencyClassOf(Admitted.Account, *Admitted.Route),
+                   .PerSecond = Refused.ExpectedPerSecond,
+                   .Earliest = Refused.RetryAfter},
+                  bootNow(), Worker.random()));
+  return Refusal;
+}
+
 std::optional<refusal>
 caller_session::checkShutdown(const admitted_request &Admitted) const {
   const auto &Shutdown = Worker.shutdownSchedule();
@@ -371,7 +384,10 @@
   }
   Progress.enter(request_step::Slot);
   const auto Slot = co_await Worker.queues().acquireSlot(
-      {.Admitted = Admitted, .Times = timesOf(Admitted, StartedAt)}, Snapshot);
+      {.Admitted = Admitted,
+       .Times = timesOf(Admitted, StartedAt),
+       .Random = Worker.random()},
+      Snapshot);
   if (const auto *Refused = std::get_if<refusal>(&Slot)) {
     Meters.record(request_end::NotRun, bootNow() - StartedAt);
     co_return co_await refuse(*Refused);
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -56,6 +56,10 @@
   /// briefly if the VM has requested a share and not received it yet.
   /// \returns a refusal if there is no share, or if the VM stops too soon.
   task<std::optional<refusal>> awaitRate(const admitted_request &Admitted);
+  /// Returns the refusal of a request above its account's rate, and puts its
+  /// caller in the line of those that come back.
+  refusal refuseRate(const admitted_request &Admitted,
+                     const rate_refused &Refused);
   /// Whether a request may wait before it is passed on; false when the process
   /// is about to end.
   bool mayWaitHere() const;
--- a/src/transport/callers/internal/service_queue.cpp
+++ b/src/transport/callers/internal/service_queue.cpp
@@ -15,7 +15,8 @@
 /// A request may wait for a slot for its route's deadline divided by this, if
 /// it is not known how long it takes to run.
 constexpr int WaitDivisor = 2;
-/// Retry-After of a request that got no slot.
+/// Retry-After of a request that got no slot while it is not known how long
+/// requests take.
 constexpr std::chrono::milliseconds QueueFullRetryAfter{1'000};
 
 waiting_request waitingRequestOf(const slot_request &Request,
@@ -168,7 +169,30 @@
   }
 }
 
-refusal service_queues::reject(queue &Queue, wait_result Cause) {
+std::optional<duration> service_queues::timePerCompletion(const queue &Queue) {
+  const std::size_t UsedSlots =
+      Queue.Capacity > 0 ? Queue.Capacity
+                         : std::max<std::size_t>(Queue.RunningRequests, 1);
+  return Queue.Completions.timePerCompletion(UsedSlots);
+}
+
+std::chrono::milliseconds
+service_queues::returnTime(const admitted_request &Admitted, duration Earliest,
+                           std::uint64_t Random) {
+  queue &Queue = getOrCreate(*Admitted.Service);
+  const auto TimePerCompletion = timePerCompletion(Queue);
+  if (!TimePerCompletion || *TimePerCompletion <= duration{0})
+    return std::chrono::ceil<std::chrono::milliseconds>(Earliest);
+  const std::chrono::duration<double> Seconds = *TimePerCompletion;
+  return std::chrono::ceil<std::chrono::milliseconds>(Queue.Returns.join(
+      {.Class = urgencyClassOf(Admitted.Account, *Admitted.Route),
+       .PerSecond = 1 / Seconds.count(),
+       .Earliest = Earliest},
+      bootNow(), Random));
+}
+
+refusal service_queues::reject(queue &Queue, const slot_request &Request,
+                               wait_result Cause) {
   const std::string &Service = Queue.Service.str();
   if (Cause == wait_result::Stopped)
     return {.Kind = refusal_kind::ShuttingDown,
@@ -188,11 +212,17 @@
               {"cause", CauseName},
               {"slots", static_cast<std::int64_t>(Queue.Capacity)},
               {"waiting", static_cast<std::int64_t>(Queue.Waiting.size())}});
+  const auto TimePerCompletion = timePerCompletion(Queue);
+  const auto Backlog = static_cast<duration::rep>(Queue.Waiting.size());
   return {.Kind = refusal_kind::QueueFull,
           .Detail = IsFull
                         ? "the queue of service " + Service + " is full"
                         : "no slot of service " + Service + " is free in time",
-          .RetryAfter = QueueFullRetryAfter};
+          .RetryAfter =
+              Queue.RejectsEarly && TimePerCompletion
+                  ? returnTime(Request.Admitted, Backlog * *TimePerCompletion,
+                               Request.Random)
+                  : QueueFullRetryAfter};
 }
 
 void service_queues::logShortageEnd(queue &Queue) {
@@ -261,11 +291,11 @@
     co_return makeSlot(Queue);
   }
   if (HasStoppedWaiting)
-    co_return reject(Queue, wait_result::Stopped);
-  const wait_result End = co_await wait(Queue, std::move(Request));
+    co_return reject(Queue, Request, wait_result::Stopped);
+  const wait_result End = co_await wait(Queue, Request);
   if (End == wait_result::Served)
     co_return makeSlot(Queue);
-  co_return reject(Queue, End);
+  co_return reject(Queue, Request, End);
 }
 
 } // namespace peridot
--- a/src/transport/callers/internal/service_queue.h
+++ b/src/transport/callers/internal/service_queue.h
@@ -14,6 +14,7 @@
 #include "coordination/capacity/capacity_shortage.h"
 #include "coordination/capacity/completion_rate.h"
 #include "coordination/capacity/request_queue.h"
+#include "coordination/capacity/return_line.h"
 #include "coordination/load_balancing/target_pauses.h"
 #include "coordination/routing/admission.h"
 #include "state/metrics/metrics_registry.h"
@@ -46,6 +47,7 @@
 struct slot_request {
   admitted_request Admitted;
   request_times Times;
+  std::uint64_t Random = 0; ///< Uniformly distributed bits.
 };
 
 /// Queues of all services; used on the traffic thread only.
@@ -61,6 +63,11 @@
   /// after stopWaiting().
   task<slot_result> acquireSlot(slot_request Request, snapshot_ptr Snapshot);
 
+  /// Returns after which time the caller of a request that targets rejected
+  /// should come back, not before \p Earliest.
+  std::chrono::milliseconds returnTime(const admitted_request &Admitted,
+                                       duration Earliest, std::uint64_t Random);
+
   /// Refuses all waiting requests and each later one that would have to wait.
   void stopWaiting();
 
@@ -88,6 +95,7 @@
     std::map<queue_ticket, std::shared_ptr<waiter>> Waiters;
     completion_rate Completions;
     capacity_shortage Shortage;
+    return_line Returns; ///< Callers that were rejected.
     std::size_t RunningRequests = 0;
     std::size_t Capacity = 0; ///< 0: not limited.
     /// Whether requests that cannot run in time are rejected on arrival.
@@ -123,7 +131,9 @@
   /// Returns a slot that is already counted as occupied.
   service_slot makeSlot(queue &Queue);
   /// Counts and logs a rejected request.
-  refusal reject(queue &Queue, wait_result Cause);
+  refusal reject(queue &Queue, const slot_request &Request, wait_result Cause);
+  /// Returns the mean time between two completions, given the slots in use.
+  static std::optional<duration> timePerCompletion(const queue &Queue);
   /// Logs the end of a shortage of capacity.
   void logShortageEnd(queue &Queue);
   /// Updates the gauges of the service.
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "coordination/capacity/return_line.h"
 #include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
@@ -162,6 +163,10 @@
   metrics_registry &metrics() { return Metrics; }
   target_pool &targets() { return Targets; }
   retry_budgets &retries() { return Retries; }
+  /// Callers of an account that were rejected by its rate limit.
+  return_line &rateReturns(const account_name &Account) {
+    return RateReturns[Account];
+  }
   /// Returns the metrics for \p Admitted, which points into \p Configuration.
   request_meters metersOf(const admitted_request &Admitted,
                           const configuration_ptr &Configuration) {
@@ -227,6 +232,7 @@
   instant ConfirmationOutstandingSince{};
   bool IsConfirmationOutstanding = false; ///< Requested but not received yet.
   retry_budgets Retries;
+  std::unordered_map<account_name, return_line> RateReturns;
   request_meter_cache Meters;
   std::mt19937_64 Random{std::random_device{}()};
   std::atomic<std::size_t> Connections{0};
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -248,6 +248,7 @@
   auto *Refused = std::get_if<rate_refused>(&Decision);
   if (!Refused)
     return Decision;
+  Refused->ExpectedPerSecond /= static_cast<double>(Services.Workers.size());
   Refused->PollInterval = GrantPollInterval;
   Refused->WaitLimit = GrantTimeout;
   Refused->RepeatInterval = GrantRetryInterval;
