Leave half of the retry budget to urgent requests

What callers saw: while targets rejected half of all attempts, requests that were not urgent used up the retry budget, and urgent ones failed with them.

Cause: the budget made no difference between requests.

Change: retry_reserve watches which share of a service's attempts was rejected in the last seconds. A request that targets rejected gets its Retry-After from the service's line.

--- a/src/coordination/health/retry_budget.h
+++ b/src/coordination/health/retry_budget.h
@@ -34,12 +34,14 @@
 
   void recordRequest() { earn(Options.RetriesPerRequest); }
   void recordSuccess() { earn(Options.RetriesPerSuccess); }
-  /// Whether a retry is left.
-  bool hasRetry() const { return Tokens >= 1; }
+  /// Whether a retry is left besides \p Reserved, a fraction of the capacity.
+  bool hasRetry(double Reserved = 0) const {
+    return Tokens >= 1 + Reserved * Options.Capacity;
+  }
   /// Takes one retry from the budget.
-  /// \returns false if none is left.
-  bool take() {
-    if (!hasRetry())
+  /// \returns false if none is left besides \p Reserved.
+  bool take(double Reserved = 0) {
+    if (!hasRetry(Reserved))
       return false;
     Tokens -= 1;
     return true;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -7,6 +7,7 @@
 
 #include "protocol/http/beast_view.h"
 #include "transport/callers/internal/relay_errors.h"
+#include "transport/callers/internal/service_queue.h"
 #include "transport/logging/event_log.h"
 
 namespace peridot {
@@ -105,6 +106,8 @@
   retry_budget &Retries =
       Worker.retries().getOrCreate(retryBudgetKeyOf(Admitted));
   Retries.recordRequest();
+  Worker.retryReserve(Admitted.Service->Name)
+      .recordRequest(urgencyClassOf(Admitted.Account, *Admitted.Route));
   while (!EndedForShutdown && ConnectedAttempts < Admitted.Route->MaxAttempts &&
          FailedConnects < MaxFailedConnects) {
     // Targets may have been removed since the request was received.
@@ -112,7 +115,7 @@
     const target *Target = choose(Admitted, *Snapshot);
     if (!Target)
       break;
-    RetryTime = retryTime(*Admitted.Route, Retries);
+    RetryTime = retryTime(Admitted, Retries);
     Progress.enter(request_step::Target);
     attempt_result Result = co_await attemptAndObserve(*Target, Admitted);
     HasAskedTarget |= Result.Progress > attempt_progress::NothingSent;
@@ -204,6 +207,11 @@
 std::chrono::milliseconds
 request_relay::retryAfter(const admitted_request &Admitted) const {
   const auto Wait = timeUntilTargetReturns(Admitted);
+  const bool IsShed =
+      LastRefusal && LastRefusal->Kind == refusal_kind::TargetShed;
+  if (!Wait && IsShed && Worker.snapshot()->RegisteredTargets)
+    return Worker.queues().returnTime(Admitted, NotRunRetryAfter,
+                                      Worker.random());
   if (!Wait)
     return NotRunRetryAfter;
   const duration Spread =
@@ -213,13 +221,15 @@
 }
 
 std::optional<std::chrono::steady_clock::time_point>
-request_relay::retryTime(const route &Route,
+request_relay::retryTime(const admitted_request &Admitted,
                          const retry_budget &Retries) const {
+  const route &Route = *Admitted.Route;
   const duration TypicalLatency =
       Worker.routeStatistics().typicalLatency(Route);
   if (isLeaving() || !Route.IsRepeatable ||
-      ConnectedAttempts + 1 >= Route.MaxAttempts || !Retries.hasRetry() ||
-      !Request.is_done() || TypicalLatency == duration{0})
+      ConnectedAttempts + 1 >= Route.MaxAttempts ||
+      !Retries.hasRetry(reservedRetries(Admitted)) || !Request.is_done() ||
+      TypicalLatency == duration{0})
     return std::nullopt;
   const auto ResponseTimeout = std::max<duration>(
       TypicalLatency * TypicalLatencyFactor, MinResponseTimeout);
@@ -227,6 +237,12 @@
   return Time < Deadline ? std::optional(Time) : std::nullopt;
 }
 
+double request_relay::reservedRetries(const admitted_request &Admitted) const {
+  return Worker.retryReserve(Admitted.Service->Name)
+      .reservedFor(urgencyClassOf(Admitted.Account, *Admitted.Route),
+                   bootNow());
+}
+
 bool request_relay::prepareRetry(attempt_result &Result,
                                  const admitted_request &Admitted,
                                  retry_budget &Retries) {
@@ -249,7 +265,7 @@
     return false;
   const bool IsCharged = Verdict.Outcome == request_outcome::Unknown ||
                          (HasConnected && Worker.retries().chargesRefused());
-  if (!IsCharged || Retries.take())
+  if (!IsCharged || Retries.take(reservedRetries(Admitted)))
     return true;
   LastRefusal->Detail += "; not sent again, as the retry budget is used up";
   return false;
@@ -336,6 +352,8 @@
   if (IsTrial)
     Worker.pauses().endTrial(Target, endOf(Result));
   observe(*Admitted.Service, Target, Result, StartedAt);
+  Worker.retryReserve(Admitted.Service->Name)
+      .recordAttempt(endOf(Result) == attempt_end::Shed, bootNow());
   logAttempt(Admitted, Target, Result, StartedAt);
   if (!LoadBalancer)
     co_return Result;
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -98,7 +98,11 @@
   /// Returns when the next attempt is given up for another one if its response
   /// has not begun; empty if no other attempt may follow.
   std::optional<std::chrono::steady_clock::time_point>
-  retryTime(const route &Route, const retry_budget &Retries) const;
+  retryTime(const admitted_request &Admitted,
+            const retry_budget &Retries) const;
+  /// Returns the fraction of the retry budget that is left to more urgent
+  /// requests.
+  double reservedRetries(const admitted_request &Admitted) const;
   /// Ends the current operation because the process is about to end. A response
   /// that has begun goes on.
   void endForShutdown();
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "coordination/capacity/retry_reserve.h"
 #include "coordination/capacity/return_line.h"
 #include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
@@ -163,6 +164,10 @@
   metrics_registry &metrics() { return Metrics; }
   target_pool &targets() { return Targets; }
   retry_budgets &retries() { return Retries; }
+  /// What of a service's retry budget is left to more urgent requests.
+  retry_reserve &retryReserve(const service_name &Service) {
+    return RetryReserves[Service];
+  }
   /// Callers of an account that were rejected by its rate limit.
   return_line &rateReturns(const account_name &Account) {
     return RateReturns[Account];
@@ -232,6 +237,7 @@
   instant ConfirmationOutstandingSince{};
   bool IsConfirmationOutstanding = false; ///< Requested but not received yet.
   retry_budgets Retries;
+  std::unordered_map<service_name, retry_reserve> RetryReserves;
   std::unordered_map<account_name, return_line> RateReturns;
   request_meter_cache Meters;
   std::mt19937_64 Random{std::random_device{}()};
