End requests that waited for a slot by their own deadline

What callers saw: nothing, as they had left. A request that had waited for a slot was sent to a target with its whole deadline again.

Cause: the relay counted the deadline from its own start.

--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -383,6 +383,7 @@
     }
   }
   Progress.enter(request_step::Slot);
+  const instant SlotRequestedAt = bootNow();
   const auto Slot = co_await Worker.queues().acquireSlot(
       {.Admitted = Admitted,
        .Times = timesOf(Admitted, StartedAt),
@@ -400,7 +401,10 @@
   }
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch, Progress);
   HasAskedTarget = true; // Unknown if the relay ends with an exception.
-  const relay_result Result = co_await Relay.run(Admitted);
+  // A request that waited by its deadline ends by it, too.
+  const duration Waited =
+      Snapshot->RegisteredTargets ? bootNow() - SlotRequestedAt : duration{0};
+  const relay_result Result = co_await Relay.run(Admitted, Waited);
   Meters.record(endOf(Result), bootNow() - StartedAt);
   IsRequestEndKnown = Result.KeepCallerConnection;
   HasAskedTarget = Result.HasAskedTarget;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -83,8 +83,9 @@
                        : Route.Deadline;
 }
 
-task<relay_result> request_relay::run(const admitted_request &Admitted) {
-  Deadline = std::chrono::steady_clock::now() +
+task<relay_result> request_relay::run(const admitted_request &Admitted,
+                                      duration Waited) {
+  Deadline = std::chrono::steady_clock::now() - Waited +
              requestTimeout(Request, Worker.dialect(), *Admitted.Route);
   if (timeUntilTargetReturns(Admitted)) {
     // The session discards the body, of which nothing has been read.
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -54,7 +54,8 @@
         ResponseTimer(Worker.loop()) {}
 
   /// \p Admitted points into a configuration that must outlive the relay.
-  task<relay_result> run(const admitted_request &Admitted);
+  /// \param Waited part of the request's deadline that has passed.
+  task<relay_result> run(const admitted_request &Admitted, duration Waited);
 
 private:
   /// Result of one attempt at one target.
