Give each host a quota of a service's slots by demand

What callers saw: each VM counted all slots of a service as its own, so that in a shortage requests queued at the targets in order of arrival, whatever their urgency.

Cause: VMs did not know of each other's demand for a service.

Change: service_room computes a VM's quota from the slots and the requests that run and wait at each host. A request that cannot run in time within the quota is rejected on arrival.

--- a/src/coordination/hosting/hosting_machine.h
+++ b/src/coordination/hosting/hosting_machine.h
@@ -74,6 +74,8 @@
   void followReport(bool HostsChanged, step &Step);
   /// Reports the view that this VM acts on to the hosts of its data centre.
   void sendView(step &Step);
+  /// Computes the quotas of services anew.
+  void updateQuotas(step &Step);
   /// Counts refusals while a part of the limit lay idle.
   void reportIdleParts(std::span<const account_limit_share> Shares, step &Step);
   /// Returns this VM's report, without the demands.
@@ -95,6 +97,9 @@
   demand_shares Demands;
   view_agreement Views;
   account_buckets Buckets;
+  service_room Room;
+  own_services OwnServices; ///< As of the last tick.
+  std::vector<service_quota> Quotas;
   instant LastTick{};
   std::uint64_t Ticks = 0;
   /// Limits are divided among these; accounts have their primaries among the
--- a/src/coordination/hosting/internal/hosting_machine.cpp
+++ b/src/coordination/hosting/internal/hosting_machine.cpp
@@ -29,7 +29,7 @@
                                  const departed_vm_options &DepartedOptions)
     : Self(Self), DataCenter(DataCenter), Election(Self, DataCenter),
       Departed(Self, DepartedOptions), Demands({.Tolerance = Tolerance}),
-      Views(Self, DataCenter), Buckets(ShareLease) {}
+      Views(Self, DataCenter), Buckets(ShareLease), Room(DataCenter) {}
 
 hosting_machine::effects hosting_machine::handle(const hosting_event &Event,
                                                  const limits_in_force &Limits,
@@ -39,10 +39,12 @@
   return std::move(Step.Effects);
 }
 
-void hosting_machine::on(const hosting_ticked & /*Event*/, step &Step) {
+void hosting_machine::on(const hosting_ticked &Event, step &Step) {
+  OwnServices = Event.Services;
   Election.setSelfReady(isReady(Step.Limits));
   Election.fitHostCount(Step.Now);
   updateLimitShares(Step);
+  updateQuotas(Step);
   sendReports(Step);
   ReportedLocalVersion = Views.localVersion(Step.Now);
   reportDataCenter(Step);
@@ -70,6 +72,10 @@
   const host_report &Report = Event.Report;
   Election.recordReport(Event.Sender, Report, Step.Now);
   Views.recordReport(Event.Sender, Report.View, Step.Now);
+  if (Report.Leaving)
+    Room.forgetHost(Event.Sender);
+  else if (Report.Services)
+    Room.recordReport(Event.Sender, *Report.Services, Step.Now);
   if (Report.Leaving)
     Demands.forgetHost(Event.Sender);
   else if (!Report.Demands.empty())
@@ -84,6 +90,8 @@
     return;
   Election.recordReport(Report, Step.Now);
   Demands.recordReport(Report, Step.Now);
+  if (Report.Services)
+    Room.recordReport(Report.DataCenter, *Report.Services, Step.Now);
   if (Event.SenderDataCenter != DataCenter)
     forwardReport(Report, Step);
   if (!Views.recordReport(Report, Step.Now))
@@ -187,6 +195,17 @@
   Step.Effects.emplace_back(std::move(Outgoing));
 }
 
+void hosting_machine::updateQuotas(step &Step) {
+  const room_hosts Hosts{.Count = Election.hosts(DataCenter, Step.Now).size(),
+                         .RegisteredCount = Election.localPeers().size() + 1,
+                         .DataCenters = Election.dataCenters()};
+  auto Next = Room.quotas(OwnServices, Hosts, Step.Now);
+  if (Next == Quotas)
+    return;
+  Quotas = std::move(Next);
+  Step.Effects.emplace_back(service_quotas_changed{.Quotas = Quotas});
+}
+
 void hosting_machine::reportIdleParts(
     std::span<const account_limit_share> Shares, step &Step) {
   const unsigned Refusals = Buckets.takeRefusalsBesideIdlePart();
@@ -209,6 +228,8 @@
     Report.Demands.assign(Demands.ownDemand().begin(),
                           Demands.ownDemand().end());
   }
+  if (!OwnServices.Slots.empty())
+    Report.Services = OwnServices.Demands;
   outgoing_host_message Full{.Message = std::move(Report)};
   std::set<vm_name> Notified;
   for (const vm_name &Name : Election.reporters(Step.Now))
@@ -237,6 +258,8 @@
     return;
   data_center_report Report{.DataCenter = DataCenter,
                             .Weights = Demands.weights()};
+  if (!OwnServices.Slots.empty())
+    Report.Services = Room.localDemands(OwnServices, Now);
   for (const registered_vm &Vm : Election.hosts(DataCenter, Now))
     Report.Hosts.push_back(Vm.Vm);
   // A host may have fallen silent since the view was adopted.
--- a/src/coordination/hosting/types/host_messages.h
+++ b/src/coordination/hosting/types/host_messages.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
+#include "coordination/capacity/types/service_demand.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "state/base/types/identifiers.h"
 
@@ -40,6 +42,8 @@
   double RequestsPerSecond = 0;
   std::vector<account_demand> Demands; ///< Sent to hosts and spares only.
   view_version View = 0;               ///< Acted on by this VM.
+  /// Requests that run or wait at this VM; sent to hosts and spares only.
+  std::optional<std::vector<service_demand>> Services;
 
   bool operator==(const host_report &) const = default;
 };
@@ -52,6 +56,8 @@
   /// Accounts with demand; sent to hosts and spares only.
   std::vector<account_weight> Weights;
   view_version View = 0; ///< Acted on by all of Hosts; 0: by some at most.
+  /// Requests that run or wait at the hosts; sent to hosts and spares only.
+  std::optional<std::vector<service_demand>> Services;
 
   bool operator==(const data_center_report &) const = default;
 };
--- a/src/coordination/hosting/types/hosting_events.h
+++ b/src/coordination/hosting/types/hosting_events.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/capacity/service_room.h"
 #include "coordination/hosting/types/host_messages.h"
 #include "state/configuration/types/fleet_configuration.h"
 
@@ -19,7 +20,9 @@
 };
 
 /// The tick period has passed.
-struct hosting_ticked {};
+struct hosting_ticked {
+  own_services Services;
+};
 /// The first configuration has come into force.
 struct first_configuration_accepted {};
 /// This VM begins to stop.
@@ -77,8 +80,14 @@
   view_version Version = 0;
 };
 
+/// The quotas of services have changed.
+struct service_quotas_changed {
+  std::vector<service_quota> Quotas; ///< Empty: none apply.
+};
+
 using hosting_effect =
     std::variant<outgoing_host_message, hosts_view_changed, host_count_changed,
-                 refused_beside_idle_part, contradictory_report>;
+                 refused_beside_idle_part, contradictory_report,
+                 service_quotas_changed>;
 
 } // namespace peridot
--- a/src/protocol/host_messages/internal/host_codec.cpp
+++ b/src/protocol/host_messages/internal/host_codec.cpp
@@ -16,6 +16,34 @@
   return {Text.c_str(), Text.size()};
 }
 
+using wire_services =
+    flatbuffers::Vector<flatbuffers::Offset<wire::ServiceDemand>>;
+
+flatbuffers::Offset<wire_services>
+encode(FlatBufferBuilder &Builder,
+       const std::optional<std::vector<service_demand>> &Services) {
+  if (!Services)
+    return 0;
+  std::vector<flatbuffers::Offset<wire::ServiceDemand>> Demands;
+  for (const service_demand &Each : *Services) {
+    const auto Name = Builder.CreateString(Each.Service.str());
+    Demands.push_back(wire::CreateServiceDemand(
+        Builder, Name, static_cast<float>(Each.Requests)));
+  }
+  return Builder.CreateVector(Demands);
+}
+
+std::optional<std::vector<service_demand>>
+decodeServices(const wire_services *Wire) {
+  if (!Wire)
+    return std::nullopt;
+  std::vector<service_demand> Services;
+  for (const wire::ServiceDemand *Each : *Wire)
+    Services.push_back({.Service = service_name(textOf(*Each->service())),
+                        .Requests = Each->requests()});
+  return Services;
+}
+
 flatbuffers::Offset<wire::HostReport> encode(FlatBufferBuilder &Builder,
                                              const host_report &Report) {
   std::vector<flatbuffers::Offset<wire::AccountDemand>> Demands;
@@ -25,9 +53,10 @@
         Builder, Name, static_cast<float>(Each.PerSecond)));
   }
   const auto List = Demands.empty() ? 0 : Builder.CreateVector(Demands);
+  const auto Services = encode(Builder, Report.Services);
   return wire::CreateHostReport(Builder, Report.Ready, Report.Leaving,
                                 static_cast<float>(Report.RequestsPerSecond),
-                                List, Report.View);
+                                List, Report.View, Services);
 }
 
 flatbuffers::Offset<wire::DataCenterReport>
@@ -43,8 +72,10 @@
   }
   const auto Name = Builder.CreateString(Report.DataCenter.str());
   const auto HostList = Builder.CreateVector(Hosts);
-  return wire::CreateDataCenterReport(
-      Builder, Name, HostList, Builder.CreateVector(Weights), Report.View);
+  const auto WeightList = Builder.CreateVector(Weights);
+  return wire::CreateDataCenterReport(Builder, Name, HostList, WeightList,
+                                      Report.View,
+                                      encode(Builder, Report.Services));
 }
 
 flatbuffers::Offset<wire::EvidenceBatch> encode(FlatBufferBuilder &Builder,
@@ -76,7 +107,8 @@
   host_report Report{.Ready = Wire.ready(),
                      .Leaving = Wire.leaving(),
                      .RequestsPerSecond = Wire.requests_per_second(),
-                     .View = Wire.view()};
+                     .View = Wire.view(),
+                     .Services = decodeServices(Wire.services())};
   if (const auto *Demands = Wire.demands())
     for (const wire::AccountDemand *Each : *Demands)
       Report.Demands.push_back(
@@ -88,7 +120,8 @@
 data_center_report decodeReport(const wire::DataCenterReport &Wire) {
   data_center_report Report{.DataCenter =
                                 data_center_name(textOf(*Wire.data_center())),
-                            .View = Wire.view()};
+                            .View = Wire.view(),
+                            .Services = decodeServices(Wire.services())};
   if (const auto *Hosts = Wire.hosts())
     for (const flatbuffers::String *Each : *Hosts)
       Report.Hosts.emplace_back(textOf(*Each));
--- a/src/protocol/host_messages/tests/host_codec_test.cpp
+++ b/src/protocol/host_messages/tests/host_codec_test.cpp
@@ -21,6 +21,22 @@
   CHECK(decodeHostMessage(encodeHostMessage(Message)) == Message);
 }
 
+// Guards against a report of no demand that is taken for one of an earlier
+// version, which says nothing.
+TEST_CASE("hostCodec_servicesOfReports_emptyDiffersFromAbsent") {
+  host_report Report{.Ready = true};
+  CHECK(decodeHostMessage(encodeHostMessage(Report)) == host_message(Report));
+  Report.Services.emplace();
+  CHECK(decodeHostMessage(encodeHostMessage(Report)) == host_message(Report));
+  Report.Services->push_back({service_name("api"), 2.5});
+  CHECK(decodeHostMessage(encodeHostMessage(Report)) == host_message(Report));
+  const host_message DataCenter =
+      data_center_report{.DataCenter = data_center_name("lakes-b"),
+                         .Hosts = {vm_name("vm-1")},
+                         .Services = Report.Services};
+  CHECK(decodeHostMessage(encodeHostMessage(DataCenter)) == DataCenter);
+}
+
 TEST_CASE("hostCodec_viewOfReports_roundTripsInFewBytes") {
   constexpr std::size_t MaxExtraBytes = 8;
   host_report Report{.Ready = true, .RequestsPerSecond = 12.5};
--- a/src/transport/callers/internal/service_queue.cpp
+++ b/src/transport/callers/internal/service_queue.cpp
@@ -59,13 +59,14 @@
   Gauge->add(Shown - std::exchange(Value, Shown));
 }
 
-service_queues::queue &service_queues::getOrCreate(const service &Service) {
-  const auto [Entry, IsNew] = Queues.try_emplace(Service.Name);
+service_queues::queue &
+service_queues::getOrCreate(const service_name &Service) {
+  const auto [Entry, IsNew] = Queues.try_emplace(Service);
   queue &Queue = Entry->second;
   if (!IsNew)
     return Queue;
-  Queue.Service = Service.Name;
-  const auto Labels = seriesLabel("service", Service.Name.view());
+  Queue.Service = Service;
+  const auto Labels = seriesLabel("service", Service.view());
   Queue.WaitingGauge.Gauge =
       &Metrics.getOrCreateGauge("peridot_requests_waiting", Labels);
   Queue.SlotsGauge.Gauge =
@@ -100,15 +101,42 @@
                                                : queue_order::FairByAccount,
                            Now);
   }
-  // Registered targets queue some requests themselves. Waiting here is only
-  // better for requests that differ in urgency.
-  const bool IsRegistered = Snapshot->RegisteredTargets != nullptr;
-  const bool IsLimited = !IsRegistered || Queue.HasPriorities;
-  Queue.RejectsEarly = IsRegistered && IsLimited;
-  Queue.Capacity = IsLimited ? slotsOf(Queue, Service, *Snapshot) : 0;
+  Queue.IsRegistered = Snapshot->RegisteredTargets != nullptr;
+  Queue.UnpausedSlots = slotsOf(Queue, Service, *Snapshot);
+  setCapacity(Queue);
   logShortageEnd(Queue);
 }
 
+void service_queues::setCapacity(queue &Queue) {
+  // Registered targets queue some requests themselves. Without a quota, waiting
+  // here is only better for requests that differ in urgency.
+  const bool IsLimited =
+      !Queue.IsRegistered || Queue.HasPriorities || Queue.Quota > 0;
+  Queue.RejectsEarly = Queue.IsRegistered && IsLimited;
+  Queue.Capacity = IsLimited ? Queue.UnpausedSlots : 0;
+  if (Queue.Quota == 0 || Queue.Capacity == 0)
+    return;
+  // The quota counts the slots of paused targets.
+  const std::size_t Quota =
+      Queue.Quota * Queue.UnpausedSlots / Queue.ServingSlots;
+  Queue.Capacity = std::min(Queue.Capacity, std::max<std::size_t>(Quota, 1));
+}
+
+void service_queues::setQuotas(std::span<const service_quota> Quotas) {
+  for (auto &[Service, Queue] : Queues)
+    Queue.Quota = 0;
+  for (const service_quota &Each : Quotas)
+    getOrCreate(Each.Service).Quota = Each.Slots;
+  for (auto &[Service, Queue] : Queues) {
+    setCapacity(Queue);
+    if (Queue.Capacity == 0)
+      wakeAll(Queue);
+    serveWaiting(Queue);
+    logShortageEnd(Queue);
+    showValues(Queue);
+  }
+}
+
 service_slot service_queues::makeSlot(queue &Queue) {
   return service_slot(
       [this, &Queue, TakenAt = bootNow()] { release(Queue, TakenAt); });
@@ -179,7 +207,7 @@
 std::chrono::milliseconds
 service_queues::returnTime(const admitted_request &Admitted, duration Earliest,
                            std::uint64_t Random) {
-  queue &Queue = getOrCreate(*Admitted.Service);
+  queue &Queue = getOrCreate(Admitted.Service->Name);
   const auto TimePerCompletion = timePerCompletion(Queue);
   if (!TimePerCompletion || *TimePerCompletion <= duration{0})
     return std::chrono::ceil<std::chrono::milliseconds>(Earliest);
@@ -242,6 +270,8 @@
   Queue.SlotsGauge.show(Queue.Capacity > 0 ? Queue.Capacity
                                            : Queue.ServingSlots);
   Queue.UsedSlotsGauge.show(Queue.RunningRequests);
+  Loads.set(Queue.Service, Queue.RunningRequests + Queue.Waiting.size(),
+            bootNow());
 }
 
 task<service_queues::wait_result> service_queues::wait(queue &Queue,
@@ -278,7 +308,7 @@
 task<slot_result> service_queues::acquireSlot(slot_request Request,
                                               snapshot_ptr Snapshot) {
   const service &Service = *Request.Admitted.Service;
-  queue &Queue = getOrCreate(Service);
+  queue &Queue = getOrCreate(Service.Name);
   update(Queue, Service, Snapshot);
   // Without any slot, waiting is pointless: the relay refuses the requests.
   if (Queue.Capacity == 0)
--- a/src/transport/callers/internal/service_queue.h
+++ b/src/transport/callers/internal/service_queue.h
@@ -15,6 +15,8 @@
 #include "coordination/capacity/completion_rate.h"
 #include "coordination/capacity/request_queue.h"
 #include "coordination/capacity/return_line.h"
+#include "coordination/capacity/service_loads.h"
+#include "coordination/capacity/service_room.h"
 #include "coordination/load_balancing/target_pauses.h"
 #include "coordination/routing/admission.h"
 #include "state/metrics/metrics_registry.h"
@@ -53,9 +55,10 @@
 /// Queues of all services; used on the traffic thread only.
 class service_queues {
 public:
-  /// \p Pauses and \p Metrics must outlive the queues.
-  service_queues(const target_pauses &Pauses, metrics_registry &Metrics)
-      : Pauses(Pauses), Metrics(Metrics) {}
+  /// The parameters must outlive the queues.
+  service_queues(const target_pauses &Pauses, metrics_registry &Metrics,
+                 service_loads &Loads)
+      : Pauses(Pauses), Metrics(Metrics), Loads(Loads) {}
 
   /// Waits until the service has a free slot for the request. Refuses it with
   /// QueueFull (not-run) if it does not fit in the queue, is displaced from
@@ -68,6 +71,9 @@
   std::chrono::milliseconds returnTime(const admitted_request &Admitted,
                                        duration Earliest, std::uint64_t Random);
 
+  /// Replaces the quotas of this thread; other services have none.
+  void setQuotas(std::span<const service_quota> Quotas);
+
   /// Refuses all waiting requests and each later one that would have to wait.
   void stopWaiting();
 
@@ -103,17 +109,22 @@
     std::uint64_t LastTicket = 0;
     /// What the next two members were computed from.
     std::weak_ptr<const routing_snapshot> Snapshot;
-    std::size_t ServingSlots = 0; ///< Of targets that get requests.
+    std::size_t ServingSlots = 0;  ///< Of targets that get requests.
+    std::size_t UnpausedSlots = 0; ///< Of these, without paused targets.
+    bool IsRegistered = false;     ///< Whether its targets register.
+    std::size_t Quota = 0;         ///< 0: none.
     bool HasPriorities = false;
     shared_gauge WaitingGauge;
     shared_gauge SlotsGauge;
     shared_gauge UsedSlotsGauge;
   };
 
-  queue &getOrCreate(const service &Service);
+  queue &getOrCreate(const service_name &Service);
   /// Adapts capacity and order to the snapshot and to the pauses of targets.
   void update(queue &Queue, const service &Service,
               const snapshot_ptr &Snapshot);
+  /// Sets how many requests may run at once.
+  static void setCapacity(queue &Queue);
   /// Number of requests that the targets of a service may run at once.
   std::size_t slotsOf(const queue &Queue, const service &Service,
                       const routing_snapshot &Snapshot) const;
@@ -137,10 +148,11 @@
   /// Logs the end of a shortage of capacity.
   void logShortageEnd(queue &Queue);
   /// Updates the gauges of the service.
-  static void showValues(queue &Queue);
+  void showValues(queue &Queue);
 
   const target_pauses &Pauses;
   metrics_registry &Metrics;
+  service_loads &Loads;
   bool IsClosed = false;
   bool HasStoppedWaiting = false;
   /// Entries are never erased, as slots refer to them.
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -44,7 +44,7 @@
                        ? std::optional<load_balancer>(*Options.LoadBalancing)
                        : std::nullopt),
       Meters(Metrics),
-      Queues(std::make_unique<service_queues>(Pauses, Metrics)),
+      Queues(std::make_unique<service_queues>(Pauses, Metrics, ServiceLoads)),
       RunningRequests(std::make_unique<running_requests>()),
       ResponseBuffers(Options.ResponseBuffers),
       Loop(ThreadName, logHandlerFailure), Acceptor(Loop.context()),
@@ -164,6 +164,11 @@
   asio::post(Loop.context(), [this, Chosen] { Retries.configure(Chosen); });
 }
 
+void traffic_worker::setServiceQuotas(std::vector<service_quota> Quotas) {
+  asio::post(Loop.context(),
+             [this, Next = std::move(Quotas)] { Queues->setQuotas(Next); });
+}
+
 bool traffic_worker::requestConfirmationIfDue() {
   const instant Now = bootNow();
   if (KeysFreshUntil == instant::max() ||
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -13,6 +13,8 @@
 
 #include "coordination/capacity/retry_reserve.h"
 #include "coordination/capacity/return_line.h"
+#include "coordination/capacity/service_loads.h"
+#include "coordination/capacity/service_room.h"
 #include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
@@ -106,6 +108,14 @@
   void addPause(const target_pause &Pause);
   /// Replaces the settings of the retry budgets. Thread-safe.
   void configureRetries(const retry_budget_options &Retries);
+  /// Replaces this thread's quotas of services; services without one are not
+  /// limited by it. Thread-safe.
+  void setServiceQuotas(std::vector<service_quota> Quotas);
+  /// Returns the mean number of requests that ran or waited since the last
+  /// call. Thread-safe.
+  std::vector<service_demand> takeServiceDemands(instant Now) {
+    return ServiceLoads.takeMeans(Now);
+  }
   /// Refuses requests from now on that would not end before the process does.
   /// Thread-safe.
   void beginLeaving(const shutdown_schedule &Schedule);
@@ -237,6 +247,7 @@
   instant ConfirmationOutstandingSince{};
   bool IsConfirmationOutstanding = false; ///< Requested but not received yet.
   retry_budgets Retries;
+  service_loads ServiceLoads;
   std::unordered_map<service_name, retry_reserve> RetryReserves;
   std::unordered_map<account_name, return_line> RateReturns;
   request_meter_cache Meters;
--- a/src/transport/node/internal/hosting_driver.cpp
+++ b/src/transport/node/internal/hosting_driver.cpp
@@ -88,7 +88,7 @@
 void hosting_driver::tick(instant Now) {
   if (Machine.departed().dropEnded(Now))
     updatePeers();
-  handle(hosting_ticked{}, Now);
+  handle(hosting_ticked{.Services = ownServices(Now)}, Now);
   updateHosting(Now);
 }
 
@@ -137,6 +137,40 @@
             {"version", std::int64_t{Effect.Version}}});
 }
 
+void hosting_driver::perform(const service_quotas_changed &Effect) {
+  // Each traffic thread gets an even part, rounded up.
+  const std::size_t Threads = Services.Workers.size();
+  std::vector<service_quota> Parts = Effect.Quotas;
+  for (service_quota &Each : Parts)
+    Each.Slots = (Each.Slots + Threads - 1) / Threads;
+  for (const auto &Worker : Services.Workers)
+    Worker->setServiceQuotas(Parts);
+}
+
+own_services hosting_driver::ownServices(instant Now) {
+  own_services Own;
+  const routing_snapshot &Snapshot = Services.Snapshots.current();
+  if (!Snapshot.RegisteredTargets)
+    return Own;
+  for (const auto &[Service, Targets] : *Snapshot.RegisteredTargets) {
+    service_slots Slots{.Service = Service};
+    for (const target &Each : Targets)
+      if (Snapshot.conditionOf(Each.Name) == target_condition::Serving)
+        Slots.Slots[Each.DataCenter] += Each.Slots;
+    Own.Slots.push_back(std::move(Slots));
+  }
+  for (const auto &Worker : Services.Workers)
+    for (const service_demand &Each : Worker->takeServiceDemands(Now)) {
+      const auto Known = std::ranges::find(Own.Demands, Each.Service,
+                                           &service_demand::Service);
+      if (Known != Own.Demands.end())
+        Known->Requests += Each.Requests;
+      else
+        Own.Demands.push_back(Each);
+    }
+  return Own;
+}
+
 void hosting_driver::publishLocalHosts(instant Now) {
   std::vector<vm_name> Hosts;
   for (const registered_vm &Vm :
--- a/src/transport/node/internal/hosting_driver.h
+++ b/src/transport/node/internal/hosting_driver.h
@@ -55,6 +55,9 @@
   void perform(const host_count_changed &Effect);
   void perform(const refused_beside_idle_part &Effect);
   void perform(const contradictory_report &Effect);
+  void perform(const service_quotas_changed &Effect);
+  /// Returns the slots of all services and this VM's demand for them.
+  own_services ownServices(instant Now);
   /// Updates IsHost and records a change of it.
   void updateHosting(instant Now);
   /// Publishes the hosts of this data centre to the traffic threads.
