--- a/src/coordination/load_balancing/cold_targets.h
+++ b/src/coordination/load_balancing/cold_targets.h
@@ -82,6 +82,8 @@
   /// is too old.
   bool maySend(const target_name &Target, std::optional<instant> TakenAt,
                instant Now);
+  /// Whether any target may be cold; cheap.
+  bool mayBeCold() const { return MayBeCold; }
   /// Returns how many requests \p Target can run at once: its slots, or what
   /// it bears while cold. Zero latency: unknown.
   double usableSlots(const target &Target, duration TypicalLatency,
--- a/src/transport/callers/internal/caller_session.h
+++ b/src/transport/callers/internal/caller_session.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <optional>
 
+#include "coordination/capacity/urgency.h"
 #include "coordination/routing/admission.h"
 #include "transport/callers/internal/relay_watch.h"
 #include "transport/callers/internal/request_progress.h"
@@ -55,10 +56,18 @@
   /// briefly if the VM has requested a share and not received it yet.
   /// \returns a refusal if there is no share, or if the VM stops too soon.
   task<std::optional<refusal>> awaitRate(const admitted_request &Admitted);
+  /// Returns the refusal of a request above its account's rate, and puts its
+  /// caller in the line of those that come back.
+  refusal refuseRate(const admitted_request &Admitted,
+                     const rate_refused &Refused);
   /// Whether a request may wait before it is passed on; false when the process
   /// is about to end.
   bool mayWaitHere() const;
   task<bool> forward(const admitted_request &Admitted, snapshot_ptr Snapshot);
+  /// Returns what is known of the times of a request that began to be served
+  /// at \p StartedAt.
+  request_times timesOf(const admitted_request &Admitted,
+                        instant StartedAt) const;
   /// \returns a refusal if the VM is leaving and the request would probably
   /// not end before.
   std::optional<refusal> checkShutdown(const admitted_request &Admitted) const;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -7,6 +7,7 @@
 
 #include "protocol/http/beast_view.h"
 #include "transport/callers/internal/relay_errors.h"
+#include "transport/callers/internal/service_queue.h"
 #include "transport/logging/event_log.h"
 
 namespace peridot {
@@ -82,8 +83,9 @@
                        : Route.Deadline;
 }
 
-task<relay_result> request_relay::run(const admitted_request &Admitted) {
-  Deadline = std::chrono::steady_clock::now() +
+task<relay_result> request_relay::run(const admitted_request &Admitted,
+                                      duration Waited) {
+  Deadline = std::chrono::steady_clock::now() - Waited +
              requestTimeout(Request, Worker.dialect(), *Admitted.Route);
   if (timeUntilTargetReturns(Admitted)) {
     // The session discards the body, of which nothing has been read.
@@ -105,6 +107,8 @@
   retry_budget &Retries =
       Worker.retries().getOrCreate(retryBudgetKeyOf(Admitted));
   Retries.recordRequest();
+  Worker.retryReserve(Admitted.Service->Name)
+      .recordRequest(urgencyClassOf(Admitted.Account, *Admitted.Route));
   while (!EndedForShutdown && ConnectedAttempts < Admitted.Route->MaxAttempts &&
          FailedConnects < MaxFailedConnects) {
     // Targets may have been removed since the request was received.
@@ -112,7 +116,7 @@
     const target *Target = choose(Admitted, *Snapshot, Retries);
     if (!Target)
       break;
-    RetryTime = retryTime(*Admitted.Route, Retries);
+    RetryTime = retryTime(Admitted, Retries);
     Progress.enter(request_step::Target);
     attempt_result Result = co_await attemptAndObserve(*Target, Admitted);
     if (Result.IsWithdrawn) {
@@ -210,6 +214,11 @@
 std::chrono::milliseconds
 request_relay::retryAfter(const admitted_request &Admitted) const {
   const auto Wait = timeUntilTargetReturns(Admitted);
+  const bool IsShed =
+      LastRefusal && LastRefusal->Kind == refusal_kind::TargetShed;
+  if (!Wait && IsShed && Worker.snapshot()->RegisteredTargets)
+    return Worker.queues().returnTime(Admitted, NotRunRetryAfter,
+                                      Worker.random());
   if (!Wait)
     return NotRunRetryAfter;
   const duration Spread =
@@ -219,11 +228,12 @@
 }
 
 std::optional<std::chrono::steady_clock::time_point>
-request_relay::retryTime(const route &Route,
+request_relay::retryTime(const admitted_request &Admitted,
                          const retry_budget &Retries) const {
+  const route &Route = *Admitted.Route;
   const duration TypicalLatency =
       Worker.routeStatistics().typicalLatency(Route);
-  if (isLeaving() || !mayRetry(Route, Retries) || !Request.is_done() ||
+  if (isLeaving() || !mayRetry(Admitted, Retries) || !Request.is_done() ||
       TypicalLatency == duration{0})
     return std::nullopt;
   const auto ResponseTimeout = std::max<duration>(
@@ -232,6 +242,12 @@
   return Time < Deadline ? std::optional(Time) : std::nullopt;
 }
 
+double request_relay::reservedRetries(const admitted_request &Admitted) const {
+  return Worker.retryReserve(Admitted.Service->Name)
+      .reservedFor(urgencyClassOf(Admitted.Account, *Admitted.Route),
+                   bootNow());
+}
+
 bool request_relay::prepareRetry(attempt_result &Result,
                                  const admitted_request &Admitted,
                                  retry_budget &Retries) {
@@ -257,7 +273,7 @@
     return false;
   const bool IsCharged = Verdict.Outcome == request_outcome::Unknown ||
                          (HasConnected && Worker.retries().chargesRefused());
-  if (!IsCharged || Retries.take())
+  if (!IsCharged || Retries.take(reservedRetries(Admitted), Worker.random()))
     return true;
   LastRefusal->Detail += "; not sent again, as the retry budget is used up";
   return false;
@@ -286,10 +302,11 @@
   return BodyBytes + Worker.routeStatistics().typicalResponseBytes(Route);
 }
 
-bool request_relay::mayRetry(const route &Route,
+bool request_relay::mayRetry(const admitted_request &Admitted,
                              const retry_budget &Retries) const {
+  const route &Route = *Admitted.Route;
   return Route.IsRepeatable && ConnectedAttempts + 1 < Route.MaxAttempts &&
-         Retries.hasRetry();
+         Retries.hasRetry(reservedRetries(Admitted));
 }
 
 const target *request_relay::choose(const admitted_request &Admitted,
@@ -300,7 +317,7 @@
     return chooseByVerdicts(Admitted, Snapshot);
   const std::span<const target> Targets = Snapshot.targetsOf(*Admitted.Service);
   const instant Now = bootNow();
-  const bool IsRepeatable = mayRetry(*Admitted.Route, Retries);
+  const bool IsRepeatable = mayRetry(Admitted, Retries);
   std::vector<target_name> Unusable = Worker.pauses().pausedAmong(Targets, Now);
   if (cold_targets *Cold = Worker.coldTargets()) {
     const cold_target_choice ForCold =
@@ -376,6 +393,8 @@
   if (IsTrial)
     Worker.pauses().endTrial(Target, endOf(Result));
   observe(*Admitted.Service, Target, Result, StartedAt);
+  Worker.retryReserve(Admitted.Service->Name)
+      .recordAttempt(endOf(Result) == attempt_end::Shed, bootNow());
   logAttempt(Admitted, Target, Result, StartedAt);
   if (!LoadBalancer)
     co_return Result;
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -54,7 +54,8 @@
         ResponseTimer(Worker.loop()) {}
 
   /// \p Admitted points into a configuration that must outlive the relay.
-  task<relay_result> run(const admitted_request &Admitted);
+  /// \param Waited part of the request's deadline that has passed.
+  task<relay_result> run(const admitted_request &Admitted, duration Waited);
 
 private:
   /// Result of one attempt at one target.
@@ -93,9 +94,10 @@
   const target *choose(const admitted_request &Admitted,
                        const routing_snapshot &Snapshot,
                        const retry_budget &Retries);
-  /// Whether a request on \p Route can be sent to another target if its next
+  /// Whether a repeatable request can be sent to another target if its next
   /// attempt fails.
-  bool mayRetry(const route &Route, const retry_budget &Retries) const;
+  bool mayRetry(const admitted_request &Admitted,
+                const retry_budget &Retries) const;
   /// Returns the best target that is not among \p Unusable; null if there is
   /// none.
   const target *chooseByCost(load_balancer &LoadBalancer,
@@ -123,7 +125,11 @@
   /// Returns when the next attempt is given up for another one if its response
   /// has not begun; empty if no other attempt may follow.
   std::optional<std::chrono::steady_clock::time_point>
-  retryTime(const route &Route, const retry_budget &Retries) const;
+  retryTime(const admitted_request &Admitted,
+            const retry_budget &Retries) const;
+  /// Returns the fraction of the retry budget that is left to more urgent
+  /// requests.
+  double reservedRetries(const admitted_request &Admitted) const;
   /// Ends the current operation because the process is about to end. A response
   /// that has begun goes on.
   void endForShutdown();
