Bound the memory held for callers; free targets of slow ones

What callers and operators saw: - 40 uploads of 500 KB that stop before their end grew the process by 22.6 MB (a trial with the budget at its maximum); - a caller that stopped reading, or sending, kept the slot and connection at the target until the deadline (20 s in the test).

Causes: bodies and small responses were buffered without a common bound, and the buffer of a body could take twice its size; only deadlines ended idle callers; the slot of the service was kept until a buffered response or a refusal had been delivered.

A body that does not get room is streamed, or refused as not run (memory-short) if there is no room for the buffers of a stream. A response that does not get room is streamed. A caller that sends or takes nothing for 5 s is given up, and the slot is freed before a buffered response or a refusal is delivered. Lines memory-short and memory-no-longer-short, counter peridot_held_bytes_denied_total.

The other tests were not run.

--- a/apps/peridotport/settings.cpp
+++ b/apps/peridotport/settings.cpp
@@ -71,6 +71,9 @@
 DEFINE_double(link_mbps, 1000,
               "Bandwidth of this VM's link in megabits per second, 0.1 to "
               "1000000; with --adapter");
+DEFINE_double(memory_mb, 0,
+              "Memory that this VM may use, in units of 1,000,000 bytes, 16 to "
+              "1000000; 0: unknown");
 DEFINE_string(address_ttl, "",
               "How long callers may cache an address response, 100ms to 300s, "
               "instead of --address_ttl_seconds");
@@ -270,6 +273,10 @@
   Validator.requireRange("operator_port", FLAGS_operator_port, 0, 65'535);
   Validator.requireRange("platform_port", FLAGS_platform_port, 1, 65'535);
   Validator.requireRange("traffic_threads", FLAGS_traffic_threads, 1, 64);
+  Validator.require(FLAGS_memory_mb == 0 ||
+                        (FLAGS_memory_mb >= 16 && FLAGS_memory_mb <= 1'000'000),
+                    "--memory_mb is out of range; use 16 to 1000000, or 0 if "
+                    "it is unknown");
   Validator.requireRange("address_ttl_seconds", FLAGS_address_ttl_seconds, 1,
                          300);
   Validator.requireRange("shutdown_limit_seconds", FLAGS_shutdown_limit_seconds,
@@ -339,6 +346,7 @@
       .Seeds = Seeds,
       .FleetKey = FleetKey,
       .TrafficThreads = static_cast<unsigned>(FLAGS_traffic_threads),
+      .MemoryMegabytes = FLAGS_memory_mb,
       .AddressTimeToLive = std::chrono::seconds(FLAGS_address_ttl_seconds),
       .ShutdownLimit = std::chrono::seconds(FLAGS_shutdown_limit_seconds)};
   addAdapterSettings(Validator, Settings);
--- a/src/coordination/routing/internal/refusal.cpp
+++ b/src/coordination/routing/internal/refusal.cpp
@@ -40,6 +40,8 @@
     return "too-many-connections";
   case refusal_kind::ShuttingDown:
     return "shutting-down";
+  case refusal_kind::MemoryShort:
+    return "memory-short";
   }
   return "internal";
 }
@@ -82,6 +84,8 @@
     return "close idle connections or use another VM";
   case refusal_kind::ShuttingDown:
     return "use another VM; this one is about to stop";
+  case refusal_kind::MemoryShort:
+    return "try again after the given time or use another VM";
   case refusal_kind::TargetFailed:
   case refusal_kind::DeadlineExceeded:
     return "check with the service whether the request ran";
--- a/src/coordination/routing/types/refusal.h
+++ b/src/coordination/routing/types/refusal.h
@@ -28,6 +28,7 @@
   DeadlineExceeded,
   TooManyConnections,
   ShuttingDown,
+  MemoryShort,
 };
 
 /// Whether a refused request ran, as reported to the caller.
--- a/src/protocol/http/internal/problem_details.cpp
+++ b/src/protocol/http/internal/problem_details.cpp
@@ -41,6 +41,7 @@
   case refusal_kind::TargetShed:
   case refusal_kind::TooManyConnections:
   case refusal_kind::ShuttingDown:
+  case refusal_kind::MemoryShort:
     return 503;
   }
   return 500;
--- a/src/transport/callers/internal/body_relay.h
+++ b/src/transport/callers/internal/body_relay.h
@@ -2,8 +2,12 @@
 /// Copies message bodies with bounded memory.
 #pragma once
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <limits>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,11 +24,39 @@
 /// Maximum number of body bytes in transit between caller and target.
 constexpr std::size_t RelayBufferBytes = 32U << 10U;
 
+/// Memory of the two buffers that copying a body needs.
+constexpr std::size_t StreamBufferBytes = 2 * RelayBufferBytes;
+
 /// Maximum number of bytes received without a complete chunk header or trailer.
 constexpr std::size_t MaxFramingBytes = 32U << 10U;
 
 using relay_buffer = std::array<char, RelayBufferBytes>;
 
+/// How long a peer may take to receive a message.
+struct delivery_limit {
+  std::chrono::steady_clock::time_point End;
+
+  /// Returns when a write that begins now must have passed on some bytes.
+  std::chrono::steady_clock::time_point ofWrite() const {
+    return std::min(End, std::chrono::steady_clock::now() + MaxCallerIdleTime);
+  }
+};
+
+/// Writes what \p Sink has. Without a limit, that of the stream applies.
+template <typename Serializer>
+task<boost::system::error_code>
+writeAvailable(tcp_stream &To, Serializer &Sink,
+               std::optional<delivery_limit> Limit) {
+  boost::system::error_code Error;
+  while (!Error && !Sink.is_done()) {
+    if (Limit)
+      To.expires_at(Limit->ofWrite());
+    std::tie(Error, std::ignore) =
+        co_await boost::beast::http::async_write_some(To, Sink, UseTaskTuple);
+  }
+  co_return Error;
+}
+
 /// Why copying a body failed.
 enum class copy_failure { None, Source, Sink, Limit, Watch };
 
@@ -51,6 +83,8 @@
   std::uint64_t AllowedBytes = std::numeric_limits<std::uint64_t>::max();
   /// Enters the step Response before the first write, if set.
   request_progress *Response = nullptr;
+  /// Of the destination, if it is the caller.
+  std::optional<delivery_limit> Delivery;
 };
 
 /// Parses the received bytes.
@@ -111,8 +145,11 @@
   do {
     std::size_t Size = 0;
     if (!Copy.Source.is_done()) {
+      if (!Copy.Delivery)
+        Copy.Watch.awaitCaller();
       auto [Error, Read] = co_await readBodyPart(
           Copy.From, Copy.Buffer, Copy.Source, Copy.BodyBuffer, 0);
+      Copy.Watch.endAwaitCaller();
       if (Copy.Watch.isCancelled())
         co_return copy_result{copy_failure::Watch, Error};
       SourceError = Error;
@@ -130,8 +167,8 @@
     Copy.SinkBody.more = SourceError || !Copy.Source.is_done();
     if (Copy.Response && Copy.Response->step() != request_step::Response)
       Copy.Response->enter(request_step::Response);
-    auto [Error, Written] =
-        co_await http::async_write(Copy.To, Copy.Sink, UseTaskTuple);
+    const auto Error =
+        co_await writeAvailable(Copy.To, Copy.Sink, Copy.Delivery);
     if (Error && Error != http::error::need_buffer)
       co_return copy_result{Copy.Watch.isCancelled() ? copy_failure::Watch
                                                      : copy_failure::Sink,
--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -200,6 +200,9 @@
       co_return co_await refuse(Refusal);
     }
     const bool IsIdle = Buffer.size() == 0;
+    // The buffer may have grown with the body of an earlier request.
+    if (IsIdle && Buffer.capacity() > RelayBufferBytes)
+      Buffer.shrink_to_fit();
     if (IsIdle)
       Worker.idleBegan(Stream);
     auto [Error, Count] = co_await Stream.async_read_some(
@@ -359,7 +362,7 @@
     }
   }
   Progress.enter(request_step::Slot);
-  const auto Slot = co_await Worker.queues().acquireSlot(Admitted, Snapshot);
+  auto Slot = co_await Worker.queues().acquireSlot(Admitted, Snapshot);
   if (const auto *Refused = std::get_if<refusal>(&Slot)) {
     Meters.record(request_end::NotRun, bootNow() - StartedAt);
     co_return co_await refuse(*Refused);
@@ -372,7 +375,8 @@
   }
   request_relay Relay(Worker, Stream, Buffer, *Parser, *Watch, Progress);
   HasAskedTarget = true; // Unknown if the relay ends with an exception.
-  const relay_result Result = co_await Relay.run(Admitted);
+  const relay_result Result =
+      co_await Relay.run(Admitted, std::move(std::get<service_slot>(Slot)));
   Meters.record(endOf(Result), bootNow() - StartedAt);
   IsRequestEndKnown = Result.KeepCallerConnection;
   HasAskedTarget = Result.HasAskedTarget;
--- a/src/transport/callers/internal/relay_attempt.cpp
+++ b/src/transport/callers/internal/relay_attempt.cpp
@@ -224,6 +224,10 @@
   case copy_failure::Watch:
     if (!Watch.hasTargetResponded()) {
       Result.Cause = refusal_kind::DeadlineExceeded;
+      if (Watch.hasCallerStalled()) {
+        Result.Error = {};
+        Result.Detail = callerStalledDetail();
+      }
       break;
     }
     [[fallthrough]];
--- a/src/transport/callers/internal/relay_response.cpp
+++ b/src/transport/callers/internal/relay_response.cpp
@@ -143,18 +143,18 @@
   if (Length)
     Result.ResponseBytes = *Length;
   buffered_response Buffered;
-  const route &Route = *Admitted.Route;
-  const bool IsBuffered =
-      Length && Request.get().method() != http::verb::head &&
-      Worker.responseBuffers().reserve(
-          *Length, Route.IsRepeatable && Route.HasLargeResponses,
-          Buffered.Reservation);
+  const bool IsBuffered = Length &&
+                          Request.get().method() != http::verb::head &&
+                          holdResponse(Admitted, *Length, Buffered);
+  if (!Response->is_done() && BuffersHeld.bytes() == 0)
+    Worker.holdForResponse(BuffersHeld, StreamBufferBytes);
   if (!IsBuffered) {
     const auto Error =
         co_await relayResponseBody(Connection, Buffer, *Response, Result);
     Reusable = !Error && TargetKeeps && Buffer.size() == 0;
     co_return Error;
   }
+  Buffered.Body.reserve(*Length);
   if (const auto Error = co_await bufferResponse(Connection, Buffer, *Response,
                                                  *Length, Buffered))
     co_return Error;
@@ -163,6 +163,22 @@
   co_return boost::system::error_code{};
 }
 
+bool request_relay::holdResponse(const admitted_request &Admitted,
+                                 std::uint64_t Bytes,
+                                 buffered_response &Buffered) {
+  const route &Route = *Admitted.Route;
+  buffer_reservation Reservation;
+  held_reservation Held;
+  if (!Worker.responseBuffers().reserve(
+          Bytes, Route.IsRepeatable && Route.HasLargeResponses, Reservation) ||
+      !Worker.hold(Held, held_kind::BufferedResponse, priorityOf(Admitted),
+                   Bytes))
+    return false;
+  Buffered.Reservation = std::move(Reservation);
+  Buffered.Held = std::move(Held);
+  return true;
+}
+
 task<boost::system::error_code>
 request_relay::deliver(buffered_response Buffered) {
   http::response<http::string_body> Forwarded(std::move(Buffered.Head),
@@ -174,11 +190,10 @@
   CallerGotBytes = true;
   Progress.enter(request_step::Response);
   // A complete response is delivered even after the request's deadline.
-  Caller.expires_at(
-      std::max(Deadline, std::chrono::steady_clock::now() + DeliveryTimeout));
-  auto [Error, Written] =
-      co_await http::async_write(Caller, Forwarded, UseTaskTuple);
-  co_return Error;
+  const delivery_limit Limit{
+      std::max(Deadline, std::chrono::steady_clock::now() + DeliveryTimeout)};
+  http::response_serializer<http::string_body> Serializer(Forwarded);
+  co_return co_await writeAvailable(Caller, Serializer, Limit);
 }
 
 template <typename Parser>
@@ -199,7 +214,8 @@
   Forwarded.body().size = 0;
   Forwarded.body().more = !Response.is_done();
   http::response_serializer<http::buffer_body> Serializer(Forwarded);
-  Caller.expires_at(Deadline);
+  const delivery_limit Limit{Deadline};
+  Caller.expires_at(Limit.ofWrite());
   Watch.noteResponseStarted();
   // If body bytes were received with the head, both are sent together.
   if (Response.is_done() || Buffer.size() == 0) {
@@ -210,6 +226,9 @@
     Result.CallerDisconnected = Error.failed();
     if (Error || Response.is_done())
       co_return Error;
+    // No further attempt can follow.
+    BufferedBody = {};
+    BodyHeld.release();
   }
   if (!BodyBuffer)
     BodyBuffer = std::make_unique_for_overwrite<relay_buffer>();
@@ -222,7 +241,8 @@
       .To = Caller,
       .BodyBuffer = *BodyBuffer,
       .Watch = Watch,
-      .Response = &Progress};
+      .Response = &Progress,
+      .Delivery = Limit};
   const copy_result End = co_await relayBody(Copy);
   CallerGotBytes =
       Serializer.is_header_done() || End.Failure == copy_failure::Sink;
--- a/src/transport/callers/internal/relay_watch.cpp
+++ b/src/transport/callers/internal/relay_watch.cpp
@@ -1,5 +1,6 @@
 #include "transport/callers/internal/relay_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "state/base/types/overloaded.h"
@@ -76,10 +77,26 @@
                               }));
 }
 
-void relay_watch::cancelAt(std::chrono::steady_clock::time_point Deadline) {
+void relay_watch::cancelAt(std::chrono::steady_clock::time_point Time) {
   WaitsForDeadline = true;
-  Timer.expires_at(Deadline);
-  Timer.async_wait(guard([](relay_watch &Self) { Self.cancelNow(); }));
+  Deadline = Time;
+  startTimer();
+}
+
+void relay_watch::startTimer() {
+  const auto AwaitedFrom =
+      AwaitedSince.value_or(std::chrono::steady_clock::now());
+  Timer.expires_at(std::min(Deadline, AwaitedFrom + MaxCallerIdleTime));
+  Timer.async_wait(guard([](relay_watch &Self) { Self.handleTimer(); }));
+}
+
+void relay_watch::handleTimer() {
+  const auto Now = std::chrono::steady_clock::now();
+  CallerStalled = AwaitedSince && Now >= *AwaitedSince + MaxCallerIdleTime;
+  if (CallerStalled || Now >= Deadline)
+    cancelNow();
+  else
+    startTimer();
 }
 
 void relay_watch::cancelNow() {
@@ -104,6 +121,8 @@
   CallerDisconnected = false;
   TargetResponded = false;
   DeadlinePassed = false;
+  CallerStalled = false;
+  AwaitedSince.reset();
 }
 
 } // namespace peridot
--- a/src/transport/callers/internal/relay_watch.h
+++ b/src/transport/callers/internal/relay_watch.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -13,6 +14,10 @@
 
 namespace peridot {
 
+/// Maximum time for which a caller may send or take nothing while a request
+/// needs it to. Until then a slot at a target may be held for it.
+constexpr std::chrono::seconds MaxCallerIdleTime{5};
+
 /// One watch exists per caller connection and is armed for each request. The
 /// streams must stay valid until disarm() or abandon().
 class relay_watch : public std::enable_shared_from_this<relay_watch> {
@@ -29,10 +34,14 @@
   /// Cancels the operations on both connections when \p Target responds or
   /// closes. Used while the caller's body is read.
   void cancelWhenTargetResponds(tcp_stream &Target);
-  /// Cancels the operations on both connections at \p Deadline.
-  void cancelAt(std::chrono::steady_clock::time_point Deadline);
+  /// Cancels the operations on both connections at \p Time, or when the
+  /// caller has sent nothing for MaxCallerIdleTime since awaitCaller().
+  void cancelAt(std::chrono::steady_clock::time_point Time);
   /// Cancels the operations that cancelAt() would cancel, if it was called.
   void cancelNow();
+  /// Called before and after a read from the caller.
+  void awaitCaller() { AwaitedSince = std::chrono::steady_clock::now(); }
+  void endAwaitCaller() { AwaitedSince.reset(); }
   /// Ends all watching and resets the state.
   void disarm();
 
@@ -44,6 +53,9 @@
   bool hasCallerDisconnected() const { return CallerDisconnected; }
   bool hasTargetResponded() const { return TargetResponded; }
   bool hasDeadlinePassed() const { return DeadlinePassed; }
+  /// Whether the caller stopped sending, so that the operations ended before
+  /// the deadline.
+  bool hasCallerStalled() const { return CallerStalled; }
   bool isCancelled() const { return TargetResponded || DeadlinePassed; }
 
 private:
@@ -51,6 +63,10 @@
   void handleCallerEvent();
   void awaitCallerReset();
   void closeTarget();
+  /// Waits until the deadline or the time at which the caller has been silent
+  /// for too long, whichever is earlier.
+  void startTimer();
+  void handleTimer();
 
   tcp_stream &Caller;
   boost::asio::steady_timer Timer;
@@ -62,6 +78,10 @@
   bool CallerDisconnected = false;
   bool TargetResponded = false;
   bool DeadlinePassed = false;
+  bool CallerStalled = false;
+  std::chrono::steady_clock::time_point Deadline{};
+  /// When the pending read from the caller began.
+  std::optional<std::chrono::steady_clock::time_point> AwaitedSince;
   /// Increased by disarm(), so that completions of earlier waits are ignored.
   std::uint64_t Generation = 0;
 };
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -66,6 +66,12 @@
           .Detail = "this VM stopped before the request had ended"};
 }
 
+refusal memoryShort() {
+  return {.Kind = refusal_kind::MemoryShort,
+          .Detail = "this VM has no memory left for the request's body",
+          .RetryAfter = NotRunRetryAfter};
+}
+
 bool declaresOversizedBody(const caller_request_parser &Request,
                            const route &Route) {
   const auto Length = Request.content_length();
@@ -74,6 +80,17 @@
 
 } // namespace
 
+std::string callerStalledDetail() {
+  return "the caller sent nothing of the request body for " +
+         std::to_string(MaxCallerIdleTime.count()) + " s";
+}
+
+unsigned priorityOf(const admitted_request &Admitted) {
+  return Admitted.Account && Admitted.Account->Priority != DefaultPriority
+             ? Admitted.Account->Priority
+             : Admitted.Route->Priority;
+}
+
 std::chrono::milliseconds requestTimeout(const caller_request_parser &Request,
                                          const http_dialect &Dialect,
                                          const route &Route) {
@@ -82,7 +99,15 @@
                        : Route.Deadline;
 }
 
-task<relay_result> request_relay::run(const admitted_request &Admitted) {
+task<relay_result> request_relay::run(const admitted_request &Admitted,
+                                      service_slot Taken) {
+  Slot.emplace(std::move(Taken));
+  relay_result Result = co_await relay(Admitted);
+  endAttempts();
+  co_return Result;
+}
+
+task<relay_result> request_relay::relay(const admitted_request &Admitted) {
   Deadline = std::chrono::steady_clock::now() +
              requestTimeout(Request, Worker.dialect(), *Admitted.Route);
   if (timeUntilTargetReturns(Admitted)) {
@@ -94,7 +119,7 @@
   const running_requests::entry Running(Worker.runningRequests(),
                                         [this] { endForShutdown(); });
   Progress.enter(request_step::Body);
-  LastRefusal = co_await bufferBody(*Admitted.Route);
+  LastRefusal = co_await bufferBody(Admitted);
   if (LastRefusal)
     co_return relay_result{.Refusal = std::move(LastRefusal)};
   if (BodyError)
@@ -138,6 +163,8 @@
 
 task<relay_result>
 request_relay::finishRequest(const admitted_request &Admitted) {
+  // The caller may receive the response slowly.
+  endAttempts();
   if (LastBuffered) {
     const unsigned Status = LastBuffered->Head.result_int();
     const auto Error = co_await deliver(std::move(*LastBuffered));
@@ -425,11 +452,78 @@
        .ReportedLoad = Result.Report.Load});
 }
 
-task<std::optional<refusal>> request_relay::bufferBody(const route &Route) {
+void request_relay::endAttempts() {
+  Slot.reset();
+  BufferedBody = {};
+  BodyHeld.release();
+  BodyBuffer.reset();
+  BuffersHeld.release();
+}
+
+bool request_relay::extendBodyBuffer(const admitted_request &Admitted) {
+  const std::size_t Limit = Worker.options().RequestBufferBytes;
+  const auto Length = Request.content_length();
+  const std::size_t NextPart = std::min<std::uint64_t>(
+      RelayBufferBytes, Request.content_length_remaining().value_or(Limit));
+  const std::size_t Needed = BufferedBody.size() + NextPart;
+  if (Needed <= BodyHeld.bytes())
+    return true;
+  // The buffer of a body without a length doubles.
+  const std::size_t Size =
+      Length ? std::min<std::uint64_t>(*Length, Limit + RelayBufferBytes)
+             : std::max<std::uint64_t>(Needed, 2 * BodyHeld.bytes());
+  if (!Worker.hold(BodyHeld, held_kind::BufferedRequest, priorityOf(Admitted),
+                   Size - BodyHeld.bytes()))
+    return false;
+  BufferedBody.reserve(Size);
+  return true;
+}
+
+task<boost::system::error_code>
+request_relay::fillBodyBuffer(const admitted_request &Admitted) {
+  boost::system::error_code Error;
+  while (!Error && !Request.is_done() &&
+         BufferedBody.size() < Worker.options().RequestBufferBytes &&
+         extendBodyBuffer(Admitted)) {
+    Watch.awaitCaller();
+    auto [ReadError, Size] =
+        co_await readBodyPart(Caller, CallerBuffer, Request, *BodyBuffer, 0);
+    Watch.endAwaitCaller();
+    Error = ReadError;
+    BufferedBody.append(BodyBuffer->data(), Size);
+  }
+  co_return Error;
+}
+
+std::optional<refusal>
+request_relay::bodyRefusal(const route &Route,
+                           boost::system::error_code Error) const {
+  if (BufferedBody.size() > Route.MaxBodyBytes)
+    return bodyTooLarge(Route);
+  if (EndedForShutdown)
+    return shutdownRefusal();
+  if (Watch.hasCallerStalled())
+    return refusal{.Kind = refusal_kind::DeadlineExceeded,
+                   .Detail = callerStalledDetail()};
+  if (Watch.hasDeadlinePassed())
+    return refusal{.Kind = refusal_kind::DeadlineExceeded,
+                   .Detail =
+                       "the request body was not received before the deadline"};
+  if (isParseError(Error))
+    return refusal{.Kind = refusal_kind::MalformedRequest,
+                   .Detail = "invalid request body: " + Error.message()};
+  return std::nullopt;
+}
+
+task<std::optional<refusal>>
+request_relay::bufferBody(const admitted_request &Admitted) {
   if (Request.is_done())
     co_return std::nullopt;
-  if (declaresOversizedBody(Request, Route))
-    co_return bodyTooLarge(Route);
+  if (declaresOversizedBody(Request, *Admitted.Route))
+    co_return bodyTooLarge(*Admitted.Route);
+  if (!Worker.hold(BuffersHeld, held_kind::StreamedRequest,
+                   priorityOf(Admitted), StreamBufferBytes))
+    co_return memoryShort();
   Watch.cancelAt(Deadline);
   Caller.expires_never();
   boost::system::error_code Error;
@@ -440,28 +534,17 @@
         co_await asio::async_write(Caller, Continue, UseTaskTuple);
   }
   BodyBuffer = std::make_unique_for_overwrite<relay_buffer>();
-  while (!Error && !Request.is_done() &&
-         BufferedBody.size() < Worker.options().RequestBufferBytes) {
-    auto [ReadError, Size] =
-        co_await readBodyPart(Caller, CallerBuffer, Request, *BodyBuffer, 0);
-    Error = ReadError;
-    BufferedBody.append(BodyBuffer->data(), Size);
-  }
-  const bool HasTimedOut = Watch.hasDeadlinePassed();
+  if (!Error)
+    Error = co_await fillBodyBuffer(Admitted);
+  auto Refusal = bodyRefusal(*Admitted.Route, Error);
   Watch.disarm();
-  if (BufferedBody.size() > Route.MaxBodyBytes)
-    co_return bodyTooLarge(Route);
-  if (EndedForShutdown)
-    co_return shutdownRefusal();
-  if (HasTimedOut)
-    co_return refusal{
-        .Kind = refusal_kind::DeadlineExceeded,
-        .Detail = "the request body was not received before the deadline"};
-  if (isParseError(Error))
-    co_return refusal{.Kind = refusal_kind::MalformedRequest,
-                      .Detail = "invalid request body: " + Error.message()};
-  BodyError = Error;
-  co_return std::nullopt;
+  if (Request.is_done()) {
+    BodyBuffer.reset();
+    BuffersHeld.release();
+  }
+  if (!Refusal)
+    BodyError = Error;
+  co_return Refusal;
 }
 
 } // namespace peridot
--- a/src/transport/callers/internal/request_relay.h
+++ b/src/transport/callers/internal/request_relay.h
@@ -12,6 +12,7 @@
 #include "transport/callers/internal/request_progress.h"
 #include "transport/callers/internal/response_timer.h"
 #include "transport/callers/internal/running_requests.h"
+#include "transport/callers/internal/service_queue.h"
 
 namespace peridot {
 
@@ -35,8 +36,16 @@
   boost::beast::http::response_header<> Head;
   std::string Body;
   buffer_reservation Reservation;
+  held_reservation Held;
 };
 
+/// Describes a request whose caller stopped sending the body.
+std::string callerStalledDetail();
+
+/// Returns the priority of a request; that of its account counts before that of
+/// its route.
+unsigned priorityOf(const admitted_request &Admitted);
+
 /// Returns how long the caller and the route's deadline let a request take.
 std::chrono::milliseconds requestTimeout(const caller_request_parser &Request,
                                          const http_dialect &Dialect,
@@ -53,8 +62,9 @@
         Request(Request), Watch(Watch), Progress(Progress),
         ResponseTimer(Worker.loop()) {}
 
-  /// \p Admitted points into a configuration that must outlive the relay.
-  task<relay_result> run(const admitted_request &Admitted);
+  /// Frees \p Slot as soon as no target is needed any more. \p Admitted points
+  /// into a configuration that must outlive the relay.
+  task<relay_result> run(const admitted_request &Admitted, service_slot Slot);
 
 private:
   /// Result of one attempt at one target.
@@ -86,6 +96,7 @@
   using target_response_parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  task<relay_result> relay(const admitted_request &Admitted);
   const target *choose(const admitted_request &Admitted,
                        const routing_snapshot &Snapshot);
   /// Bytes that the request and its response will transfer, as far as known.
@@ -124,9 +135,23 @@
   static attempt_end endOf(const attempt_result &Result);
 
   /// Reads and buffers the start of the body, so that it can be sent again in
-  /// further attempts.
+  /// further attempts. What the memory budget does not grant is streamed.
   /// \returns a refusal if that fails.
-  task<std::optional<refusal>> bufferBody(const route &Route);
+  task<std::optional<refusal>> bufferBody(const admitted_request &Admitted);
+  /// Reads the body until the buffer is full. \returns an error of the caller.
+  task<boost::system::error_code>
+  fillBodyBuffer(const admitted_request &Admitted);
+  /// Returns why the body was not read completely, if the request ends there.
+  std::optional<refusal> bodyRefusal(const route &Route,
+                                     boost::system::error_code Error) const;
+  /// Makes room for the next part of the body.
+  /// \returns whether the memory budget granted it.
+  bool extendBodyBuffer(const admitted_request &Admitted);
+  /// Whether the response is to be buffered; holds its bytes in \p Buffered.
+  bool holdResponse(const admitted_request &Admitted, std::uint64_t Bytes,
+                    buffered_response &Buffered);
+  /// Frees what only further attempts would need.
+  void endAttempts();
   task<attempt_result> attempt(const target &Target,
                                const admitted_request &Admitted);
   /// \param MaxIdleTime maximum idle time of a connection to reuse; zero: open
@@ -199,7 +224,10 @@
   std::optional<buffered_response> LastBuffered;
   std::optional<refusal> LastRefusal;
   std::unique_ptr<relay_buffer> BodyBuffer;
-  std::string BufferedBody;  ///< Start of the body, sent in each attempt.
+  std::string BufferedBody;     ///< Start of the body, sent in each attempt.
+  held_reservation BodyHeld;    ///< Of BufferedBody.
+  held_reservation BuffersHeld; ///< Of BodyBuffer and the stream's buffer.
+  std::optional<service_slot> Slot; ///< Empty once no target is needed.
   bool BodyConsumed = false; ///< Body bytes were read that are not buffered.
   bool NeedsNewConnection = false;
   /// Whether the target of the current attempt was chosen for the floor.
--- a/src/transport/callers/internal/traffic_worker.cpp
+++ b/src/transport/callers/internal/traffic_worker.cpp
@@ -69,6 +69,26 @@
   asio::co_spawn(Loop.context(), acceptCallers(), asio::detached);
 }
 
+bool traffic_worker::hold(held_reservation &Held, held_kind Kind,
+                          unsigned Priority, std::uint64_t Bytes) {
+  held_bytes &Budget = *Options.HeldBytes;
+  const bool IsGranted = Held.tryAdd(Budget, Kind, Priority, Bytes);
+  if (!IsGranted)
+    Metrics
+        .getOrCreateCounter("peridot_held_bytes_denied_total",
+                            seriesLabel("kind", nameOf(Kind)))
+        .add();
+  const budget_change Change = Budget.takeChange();
+  if (Change != budget_change::None)
+    logEvent(log_level::Info,
+             Change == budget_change::BecameShort ? "memory-short"
+                                                  : "memory-no-longer-short",
+             {{"held_bytes", static_cast<std::int64_t>(Budget.used())},
+              {"limit_bytes", static_cast<std::int64_t>(Budget.limit())},
+              {"kind", nameOf(Kind)}});
+  return IsGranted;
+}
+
 void traffic_worker::observe(attempt_observation Observation) {
   if (Observations.empty())
     ObservationTimer = Timers.once(ObservationPeriod,
--- a/src/transport/callers/traffic_worker.h
+++ b/src/transport/callers/traffic_worker.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "coordination/capacity/held_bytes.h"
 #include "coordination/health/retry_budget.h"
 #include "coordination/health/types/attempt_observation.h"
 #include "coordination/limits/types/rate_decision.h"
@@ -50,6 +51,9 @@
   /// the request can be retried if the response is damaged. Others are
   /// streamed.
   response_buffer_limits ResponseBuffers;
+  /// Shared by all traffic threads of the VM.
+  std::shared_ptr<held_bytes> HeldBytes =
+      std::make_shared<held_bytes>(heldBytesLimit(0));
   /// Set if targets are chosen by what this VM and its peers observe; otherwise
   /// the verdicts of the services' owners decide.
   std::optional<load_balancer_settings> LoadBalancing;
@@ -156,6 +160,15 @@
   target_pauses &pauses() { return Pauses; }
   route_statistics &routeStatistics() { return RouteStatistics; }
   response_buffers &responseBuffers() { return ResponseBuffers; }
+  /// Holds \p Bytes more in \p Held if the VM's memory budget grants them, and
+  /// logs when the budget becomes short.
+  /// \returns whether it did.
+  bool hold(held_reservation &Held, held_kind Kind, unsigned Priority,
+            std::uint64_t Bytes);
+  /// Holds bytes that a response needs, whatever the budget.
+  void holdForResponse(held_reservation &Held, std::uint64_t Bytes) {
+    Held.add(*Options.HeldBytes, Bytes);
+  }
   /// Index in the split of \p Route of the service for its next request.
   std::size_t nextInSplit(const route &Route);
   const traffic_options &options() const { return Options; }
--- a/src/transport/node/internal/node.cpp
+++ b/src/transport/node/internal/node.cpp
@@ -59,12 +59,14 @@
 constexpr response_buffer_limits ResponseBuffers{
     .Small = 64U << 10U, .Large = 512U << 10U, .Total = 16U << 20U};
 
-traffic_options trafficOptions(const node_settings &Settings) {
+traffic_options trafficOptions(const node_settings &Settings,
+                               std::shared_ptr<held_bytes> HeldBytes) {
   traffic_options Options{
       .Listen = endpointOf(Settings.ListenAddress, Settings.CallerPort),
       .Vm = Settings.Vm,
       .DataCenter = Settings.DataCenter,
-      .AddressTimeToLive = Settings.AddressTimeToLive};
+      .AddressTimeToLive = Settings.AddressTimeToLive,
+      .HeldBytes = std::move(HeldBytes)};
   if (Settings.Adapter) {
     Options.Dialect = Settings.Adapter->Dialect;
     Options.LoadBalancing =
@@ -79,10 +81,13 @@
 
 std::vector<std::unique_ptr<traffic_worker>>
 makeWorkers(const node_settings &Settings, metrics_registry &Metrics) {
+  const auto HeldBytes =
+      std::make_shared<held_bytes>(heldBytesLimit(Settings.MemoryMegabytes));
   std::vector<std::unique_ptr<traffic_worker>> Workers;
   for (unsigned Index = 0; Index < Settings.TrafficThreads; ++Index)
     Workers.push_back(std::make_unique<traffic_worker>(
-        trafficOptions(Settings), Metrics, "traffic-" + std::to_string(Index)));
+        trafficOptions(Settings, HeldBytes), Metrics,
+        "traffic-" + std::to_string(Index)));
   return Workers;
 }
 
--- a/src/transport/node/types/node_settings.h
+++ b/src/transport/node/types/node_settings.h
@@ -48,6 +48,8 @@
   /// requests fail.
   double FloorShare = 0.5;
   vm_resources Resources; ///< Of this VM; only with an adapter.
+  /// Memory of this VM, in units of 1,000,000 bytes; 0: unknown.
+  double MemoryMegabytes = 0;
   std::chrono::milliseconds AddressTimeToLive{10'000};
   /// Maximum time that a shutdown waits for running requests.
   std::chrono::milliseconds ShutdownLimit{60'000};
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -28,7 +28,8 @@
   return Proxy;
 }
 
-json::value routeTo(const std::string &Prefix, const char *Kind) {
+json::value routeTo(const std::string &Prefix, const char *Kind,
+                    const std::string &Timeout) {
   return {{"resource-kind", "routes"},
           {"metadata", {{"name", Prefix}}},
           {"spec",
@@ -36,7 +37,7 @@
             {"path-prefix", Prefix},
             {"service", "hive"},
             {"kind", Kind},
-            {"timeout", "2s"},
+            {"timeout", Timeout},
             {"max-attempts", 2}}}};
 }
 
@@ -56,14 +57,14 @@
 void store_fleet::writeConfiguration(
     int Version, const std::vector<store_account> &Accounts,
     const std::string &ExtraRoutePrefix) const {
-  json::array Resources{routeTo("/logs/", "idempotent"),
-                        routeTo("/dispatch/", "non_idempotent"),
-                        routeTo("/packs/", "download"),
+  json::array Resources{routeTo("/logs/", "idempotent", RouteTimeout),
+                        routeTo("/dispatch/", "non_idempotent", RouteTimeout),
+                        routeTo("/packs/", "download", RouteTimeout),
                         {{"resource-kind", "services"},
                          {"metadata", {{"name", "hive"}}},
                          {"spec", {{"health-path", "/health"}}}}};
   if (!ExtraRoutePrefix.empty())
-    Resources.push_back(routeTo(ExtraRoutePrefix, "idempotent"));
+    Resources.push_back(routeTo(ExtraRoutePrefix, "idempotent", RouteTimeout));
   for (const store_account &Each : Accounts) {
     json::array Keys(Each.Keys.begin(), Each.Keys.end());
     Resources.push_back({{"resource-kind", "tenants"},
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -81,6 +81,8 @@
   bool ProxiesPeers = false;
   /// Flags of all nodes, after those of the fleet; apply from the next start.
   std::vector<std::string> NodeFlags;
+  /// Deadline of all routes; applies from the next configuration.
+  std::string RouteTimeout = "2s";
 
 private:
   void addPeerProxy(store_node &Node) const;
