--- a/src/transport/callers/internal/caller_session.cpp
+++ b/src/transport/callers/internal/caller_session.cpp
@@ -200,6 +200,9 @@
       co_return co_await refuse(Refusal);
     }
     const bool IsIdle = Buffer.size() == 0;
+    // The buffer may have grown with the body of an earlier request.
+    if (IsIdle && Buffer.capacity() > RelayBufferBytes)
+      Buffer.shrink_to_fit();
     if (IsIdle)
       Worker.idleBegan(Stream);
     auto [Error, Count] = co_await Stream.async_read_some(
@@ -384,7 +387,7 @@
   }
   Progress.enter(request_step::Slot);
   const instant SlotRequestedAt = bootNow();
-  const auto Slot = co_await Worker.queues().acquireSlot(
+  auto Slot = co_await Worker.queues().acquireSlot(
       {.Admitted = Admitted,
        .Times = timesOf(Admitted, StartedAt),
        .Random = Worker.random()},
@@ -404,7 +407,8 @@
   // A request that waited by its deadline ends by it, too.
   const duration Waited =
       Snapshot->RegisteredTargets ? bootNow() - SlotRequestedAt : duration{0};
-  const relay_result Result = co_await Relay.run(Admitted, Waited);
+  const relay_result Result = co_await Relay.run(
+      Admitted, std::move(std::get<service_slot>(Slot)), Waited);
   Meters.record(endOf(Result), bootNow() - StartedAt);
   IsRequestEndKnown = Result.KeepCallerConnection;
   HasAskedTarget = Result.HasAskedTarget;
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -90,6 +90,8 @@
   double WarmUpPerSecond = 0;
   /// Flags of all nodes, after those of the fleet; apply from the next start.
   std::vector<std::string> NodeFlags;
+  /// Deadline of all routes; applies from the next configuration.
+  std::string RouteTimeout = "2s";
 
 private:
   void addPeerProxy(store_node &Node) const;
