Revert "Let a VM retry whose part of the budget is below one"

The number of retries of the fleet is a bound, and drawing them at random keeps it only on average. Fleets with so few additional retries that a host holds less than one go on without charged retries, as before.

--- a/src/coordination/health/retry_budget.h
+++ b/src/coordination/health/retry_budget.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <cstdint>
 #include <unordered_map>
 
 #include "state/base/types/identifiers.h"
@@ -39,13 +38,9 @@
   bool hasRetry(double Reserved = 0) const {
     return Tokens >= 1 + Reserved * Options.Capacity;
   }
-  /// Takes one retry from the budget. If the budget is too small to hold one,
-  /// as with many VMs, what is saved is spent for the same chance of a retry.
-  /// \param Random uniformly distributed bits; the default never wins.
+  /// Takes one retry from the budget.
   /// \returns false if none is left besides \p Reserved.
-  bool take(double Reserved = 0, std::uint64_t Random = ~std::uint64_t{0}) {
-    if (Options.Capacity < 1)
-      return draw(Tokens * (1 - Reserved), Random);
+  bool take(double Reserved = 0) {
     if (!hasRetry(Reserved))
       return false;
     Tokens -= 1;
@@ -60,15 +55,7 @@
 
 private:
   void earn(double Retries) {
-    // A request may always spend what it has earned itself.
-    const double MaxTokens =
-        std::max(Options.Capacity, std::min(Options.RetriesPerRequest, 1.0));
-    Tokens = std::min(Tokens + Retries, MaxTokens);
-  }
-  bool draw(double Spent, std::uint64_t Random) {
-    constexpr std::uint64_t Steps = 1U << 20U;
-    Tokens -= Spent;
-    return static_cast<double>(Random % Steps) < Spent * Steps;
+    Tokens = std::min(Tokens + Retries, Options.Capacity);
   }
 
   retry_budget_options Options;
--- a/src/transport/callers/internal/request_relay.cpp
+++ b/src/transport/callers/internal/request_relay.cpp
@@ -300,7 +300,7 @@
     return false;
   const bool IsCharged = Verdict.Outcome == request_outcome::Unknown ||
                          (HasConnected && Worker.retries().chargesRefused());
-  if (!IsCharged || Retries.take(reservedRetries(Admitted), Worker.random()))
+  if (!IsCharged || Retries.take(reservedRetries(Admitted)))
     return true;
   LastRefusal->Detail += "; not sent again, as the retry budget is used up";
   return false;
