--- a/src/coordination/load_balancing/tests/target_subsets_test.cpp
+++ b/src/coordination/load_balancing/tests/target_subsets_test.cpp
@@ -70,7 +70,7 @@
   const target_subset Before = subsetOf(Hosts[4]);
   const vm_name Vm = Hosts[4];
   std::ranges::reverse(Service);
-  std::ranges::rotate(Hosts, Hosts.begin() + 3);
+  std::rotate(Hosts.begin(), Hosts.begin() + 3, Hosts.end());
   CHECK(subsetOf(Vm) == Before);
 }
 
--- a/tests/integration/slow_caller_test.cpp
+++ b/tests/integration/slow_caller_test.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-using std::chrono::steady_clock;
-
 /// Well above the time for which a caller may stand still, and below the
 /// deadline of /raw-upload.
 constexpr std::chrono::seconds MaxHeldTime{13};
