Let the object platform's stand-in page, decode queries and hold any name

Change: lists have pages of 500 objects, or of the size that a test sets; queries and paths are decoded as HTTP servers do; what cannot be decoded is left out or refused with 400. A test can also let the store ignore where a page is to start, and hide names.

--- a/tests/stand_ins/http_server.cpp
+++ b/tests/stand_ins/http_server.cpp
@@ -1,13 +1,17 @@
 #include "stand_ins/http_server.h"
 
+#include <algorithm>
 #include <iostream>
+#include <optional>
 #include <sstream>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/url/pct_string_view.hpp>
 
 namespace peridot::stand_in {
 
@@ -16,6 +20,33 @@
 
 namespace {
 
+/// Returns nullopt if an escape is incomplete or not hexadecimal.
+std::optional<std::string> decode(std::string_view Text, bool PlusIsBlank) {
+  const auto Encoded =
+      boost::urls::make_pct_string_view({Text.data(), Text.size()});
+  if (!Encoded)
+    return std::nullopt;
+  boost::urls::encoding_opts Options;
+  Options.space_as_plus = PlusIsBlank;
+  return Encoded->decode(Options);
+}
+
+std::optional<std::string> decodeQueryPart(std::string_view Text) {
+  return decode(Text, true);
+}
+
+/// Returns the parameters in the query of \p Target, still encoded.
+std::vector<std::string_view> queryPairs(std::string_view Target) {
+  std::vector<std::string_view> Pairs;
+  std::size_t Separator = Target.find('?');
+  while (Separator != Target.npos) {
+    Target.remove_prefix(Separator + 1);
+    Separator = Target.find('&');
+    Pairs.push_back(Target.substr(0, Separator));
+  }
+  return Pairs;
+}
+
 task<bool> sendTruncated(tcp_stream &Stream, const handler_result &Result) {
   http_response Head = Result.Response;
   Head.prepare_payload();
@@ -81,22 +112,30 @@
 
 std::string queryValue(std::string_view Target, std::string_view Name,
                        std::string_view Default) {
-  std::size_t Start = Target.find('?');
-  while (Start != std::string_view::npos) {
-    const std::string_view Rest = Target.substr(Start + 1);
-    const std::string_view Pair = Rest.substr(0, Rest.find('&'));
+  for (const std::string_view Pair : queryPairs(Target)) {
     const std::size_t Equals = Pair.find('=');
-    if (Pair.substr(0, Equals) == Name && Equals != std::string_view::npos)
-      return std::string(Pair.substr(Equals + 1));
-    Start = Target.find('&', Start + 1);
+    if (Equals == Pair.npos || decodeQueryPart(Pair.substr(0, Equals)) != Name)
+      continue;
+    if (auto Value = decodeQueryPart(Pair.substr(Equals + 1)))
+      return std::move(*Value);
   }
   return std::string(Default);
 }
 
+bool isQueryDecodable(std::string_view Target) {
+  return std::ranges::all_of(queryPairs(Target), [](std::string_view Pair) {
+    return decodeQueryPart(Pair).has_value();
+  });
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
 
+std::string decodeSegment(std::string_view Segment) {
+  return decode(Segment, false).value_or(std::string(Segment));
+}
+
 http_response textResponse(unsigned Status, std::string Body) {
   http_response Response(static_cast<http::status>(Status), 11);
   Response.body() = std::move(Body);
--- a/tests/stand_ins/http_server.h
+++ b/tests/stand_ins/http_server.h
@@ -33,13 +33,20 @@
 void serveHttp(boost::asio::io_context &Loop, std::uint16_t Port,
                http_handler Handler);
 
-/// Returns the value of \p Name in the query of \p Target, or \p Default.
+/// Returns the decoded value of \p Name in the query of \p Target, or \p
+/// Default. A parameter that cannot be decoded is left out.
 std::string queryValue(std::string_view Target, std::string_view Name,
                        std::string_view Default);
 
-/// Returns the path of \p Target without its query.
+/// Whether all parameters in the query of \p Target can be decoded.
+bool isQueryDecodable(std::string_view Target);
+
+/// Returns the path of \p Target without its query, still encoded.
 std::string_view pathOf(std::string_view Target);
 
+/// Decodes one segment of a path; returns it as it is if that is not possible.
+std::string decodeSegment(std::string_view Segment);
+
 /// Returns a response with the given status and body.
 http_response textResponse(unsigned Status, std::string Body);
 
--- a/tests/stand_ins/object_platform/main.cpp
+++ b/tests/stand_ins/object_platform/main.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// Stand-in for an object platform such as Hivecrest's. It lists, watches,
 /// creates, replaces and removes objects; tests set faults under /admin/faults,
-/// and proxies in front of VMs' peer ports under /admin/peer_proxy.
+/// how it lists objects under /admin/lists, and proxies in front of VMs' peer
+/// ports under /admin/peer_proxy.
 
 #include <map>
 #include <utility>
@@ -40,6 +41,22 @@
   bool HoldsWrites = false;
 };
 
+constexpr std::size_t DefaultPageSize = 500;
+
+/// How the store lists objects and reads queries; set by a test, and kept until
+/// the test sets it again.
+struct list_behaviour {
+  std::size_t PageSize = DefaultPageSize; ///< Objects on a page.
+  /// Responds 400 to a query that cannot be decoded, instead of leaving out the
+  /// parameter.
+  bool IsStrict = false;
+  /// Starts each page with the first object, whatever the query says.
+  bool IgnoresAfter = false;
+  /// Lists and watches show a number in place of names that begin so; empty:
+  /// all names are shown.
+  std::string HiddenPrefix;
+};
+
 bool isSet(std::string_view Target, std::string_view Name) {
   return queryValue(Target, Name, "0") == "1";
 }
@@ -55,6 +72,10 @@
       Result.Response = handleAdminRequest(Target);
       co_return Result;
     }
+    if (Lists.IsStrict && !isQueryDecodable(Target)) {
+      Result.Response = textResponse(400, "{}");
+      co_return Result;
+    }
     const bool IsRead = Request.method() == http::verb::get;
     // Faults do not affect writes of the operator and of targets.
     if (!IsRead && !parse(Target).first.starts_with("peridot")) {
@@ -93,15 +114,26 @@
     co_await Timer.async_wait(UseTaskTuple);
   }
 
-  http_response list(const std::string &Kind) const {
+  http_response list(const std::string &Kind, const std::string &After) const {
+    const auto Page =
+        Objects.list(Kind, Lists.IgnoresAfter ? "" : After, Lists.PageSize);
     json::array Items;
-    for (json::value &Each : Objects.list(Kind))
-      Items.push_back(std::move(Each));
+    for (const json::value &Each : Page.Items)
+      Items.push_back(shown(Each));
     return jsonResponse({{"items", std::move(Items)},
-                         {"has-more", false},
+                         {"has-more", Page.HasMore},
                          {"store-revision", Objects.revision()}});
   }
 
+  /// Returns an object as lists and watches show it.
+  json::value shown(json::value Object) const {
+    json::value &Name = Object.at("metadata").at("name");
+    if (!Lists.HiddenPrefix.empty() &&
+        Name.as_string().starts_with(Lists.HiddenPrefix))
+      Name = 7;
+    return Object;
+  }
+
   /// Returns nullopt while the watch must wait, with neither an event nor an
   /// expired wait time. A deaf watch ignores events.
   std::optional<http_response> pollWatch(const std::string &Kind,
@@ -112,9 +144,12 @@
       return textResponse(410, "{}");
     if ((Events->empty() || IsDeaf) && !HasExpired)
       return std::nullopt;
+    json::array Shown;
+    for (const json::value &Each : *Events)
+      Shown.push_back({{"object", shown(Each.at("object"))},
+                       {"deleted", Each.at("deleted")}});
     return jsonResponse(
-        {{"events", json::array(Events->begin(), Events->end())},
-         {"store-revision", Objects.revision()}});
+        {{"events", std::move(Shown)}, {"store-revision", Objects.revision()}});
   }
 
   /// Returns kind and name from a path; the name is empty for a whole kind.
@@ -124,14 +159,14 @@
         Path.substr(std::min(ObjectsPath.size(), Path.size())));
     const std::size_t Slash = std::min(Rest.find('/'), Rest.size());
     return {Rest.substr(0, Slash),
-            Rest.substr(std::min(Slash + 1, Rest.size()))};
+            decodeSegment(Rest.substr(std::min(Slash + 1, Rest.size())))};
   }
 
   task<http_response> read(const std::string &Target) {
     const std::string Kind = parse(Target).first;
     const std::string After = queryValue(Target, "watch", "");
     if (After.empty())
-      co_return list(Kind);
+      co_return list(Kind, queryValue(Target, "after", ""));
     const std::chrono::milliseconds Wait(
         std::stoul(queryValue(Target, "wait-ms", "0")));
     const auto Deadline = std::chrono::steady_clock::now() + Wait;
@@ -224,6 +259,14 @@
       PeerProxies[number(Target, "port")] = number(Target, "proxy");
       return textResponse(200, "");
     }
+    if (pathOf(Target) == "/admin/lists") {
+      Lists = {.PageSize = std::stoul(queryValue(
+                   Target, "page_size", std::to_string(DefaultPageSize))),
+               .IsStrict = isSet(Target, "strict"),
+               .IgnoresAfter = isSet(Target, "ignore_after"),
+               .HiddenPrefix = queryValue(Target, "hidden_prefix", "")};
+      return textResponse(200, "");
+    }
     Faults = {.IsDown = isSet(Target, "down"),
               .IsSilent = isSet(Target, "silent"),
               .SilentKind = queryValue(Target, "silent_kind", ""),
@@ -246,6 +289,7 @@
   boost::asio::io_context &Loop;
   object_history Objects;
   store_faults Faults;
+  list_behaviour Lists;
   std::vector<http_request> HeldWrites;
   /// By kind; incremented by the faults "deaf" (all kinds) and "deaf_kind" (one
   /// kind). Watches started earlier get no events.
--- a/tests/stand_ins/object_platform/object_history.cpp
+++ b/tests/stand_ins/object_platform/object_history.cpp
@@ -21,7 +21,7 @@
 
 std::optional<json::value> object_history::create(const std::string &Kind,
                                                   json::value Object) {
-  const std::string Name(Object.at("metadata").at("name").as_string().c_str());
+  const std::string Name(Object.at("metadata").at("name").as_string());
   if (Kinds[Kind].contains(Name))
     return std::nullopt;
   return store(Kind, Name, std::move(Object));
@@ -54,12 +54,20 @@
   return Found == Objects->second.end() ? nullptr : &Found->second;
 }
 
-std::vector<json::value> object_history::list(const std::string &Kind) const {
-  std::vector<json::value> Items;
-  if (const auto Objects = Kinds.find(Kind); Objects != Kinds.end())
-    for (const auto &[Name, Object] : Objects->second)
-      Items.push_back(Object);
-  return Items;
+object_history::page object_history::list(const std::string &Kind,
+                                          const std::string &After,
+                                          std::size_t MaxItems) const {
+  page Page;
+  const auto Objects = Kinds.find(Kind);
+  if (Objects == Kinds.end())
+    return Page;
+  for (auto Next = Objects->second.upper_bound(After);
+       Next != Objects->second.end() && !Page.HasMore; ++Next)
+    if (Page.Items.size() < MaxItems)
+      Page.Items.push_back(Next->second);
+    else
+      Page.HasMore = true;
+  return Page;
 }
 
 std::optional<std::vector<json::value>>
--- a/tests/stand_ins/object_platform/object_history.h
+++ b/tests/stand_ins/object_platform/object_history.h
@@ -28,7 +28,14 @@
   const json_value *find(const std::string &Kind,
                          const std::string &Name) const;
 
-  std::vector<json_value> list(const std::string &Kind) const;
+  /// Some of the objects of a kind, in the order of their names.
+  struct page {
+    std::vector<json_value> Items;
+    bool HasMore = false; ///< Whether objects follow the last one.
+  };
+  /// Returns the objects whose names follow \p After, at most \p MaxItems.
+  page list(const std::string &Kind, const std::string &After,
+            std::size_t MaxItems) const;
   /// Returns the events of a kind after a revision; nullopt if the history
   /// since then was discarded.
   std::optional<std::vector<json_value>> events(const std::string &Kind,
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -203,6 +203,19 @@
   httpCall(PlatformPort, {.Path = "/admin/faults?" + Query});
 }
 
+void store_fleet::createEntry(const std::string &Kind, const std::string &Name,
+                              const std::string &Spec) const {
+  httpCall(PlatformPort,
+           {.Method = "POST",
+            .Path = "/v1/objects/" + Kind,
+            .Body = json::serialize(json::value{{"metadata", {{"name", Name}}},
+                                                {"spec", json::parse(Spec)}})});
+}
+
+void store_fleet::setPlatformLists(const std::string &Query) const {
+  httpCall(PlatformPort, {.Path = "/admin/lists?" + Query});
+}
+
 int store_fleet::platformCallCount() const {
   return jsonInteger(httpCall(PlatformPort, {.Path = "/admin/calls"}).Body,
                      "calls");
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -72,6 +72,11 @@
   void awaitReady(const store_node &Node) const;
   /// Sets faults of the platform, for example `down=1`; empty: none.
   void setPlatformFaults(const std::string &Query) const;
+  /// Creates an object as another writer; \p Spec is its content as JSON.
+  void createEntry(const std::string &Kind, const std::string &Name,
+                   const std::string &Spec) const;
+  /// Sets how the platform lists objects, for example `page_size=1&strict=1`.
+  void setPlatformLists(const std::string &Query) const;
   /// Number of calls that the platform received from nodes; writes of operators
   /// and targets are not counted.
   int platformCallCount() const;
