Encode names in the URLs of all clients in one place

Cause: the name that ends a page of a list went into the query of the next call as it was. A blank or a line break ends the request line, '&' begins another parameter, '%' an escape.

'#', '?' and '/' passed before too; their tests stay.

Fix: request_target builds every path and query and encodes all but unreserved characters, with Boost.URL. The platform's store, the platform client and peridotctl use it; a call to the platform takes no other text. The operator port and the directory decode what they are asked.

--- a/apps/peridotctl/explain_command.cpp
+++ b/apps/peridotctl/explain_command.cpp
@@ -6,6 +6,7 @@
 
 #include "commands.h"
 #include "fleet_session.h"
+#include "protocol/http/request_target.h"
 #include "protocol/operator_documents/operator_documents.h"
 
 namespace peridot {
@@ -66,10 +67,11 @@
                         "explain needs a known kind and a name",
                         "usage: peridotctl explain "
                         "target|account|vm|shard|service|configuration NAME"});
+  const request_target Journal = request_target("/journal")
+                                     .addParameter("kind", Line.Operands[0])
+                                     .addParameter("name", Line.Operands[1]);
   const auto Responses =
-      queryFleet(Line.Options, {.Method = "GET",
-                                .Path = "/journal?kind=" + Line.Operands[0] +
-                                        "&name=" + Line.Operands[1]});
+      queryFleet(Line.Options, {.Method = "GET", .Path = Journal.text()});
   if (!Responses)
     return reportError(Responses.error());
   const std::vector<journal_entry> Timeline = mergeJournals(*Responses);
--- a/src/transport/node/internal/operator_pages.cpp
+++ b/src/transport/node/internal/operator_pages.cpp
@@ -1,10 +1,9 @@
 #include "transport/node/internal/operator_pages.h"
 
-#include <algorithm>
-
 #include <boost/json.hpp>
 
 #include "protocol/http/metrics_text.h"
+#include "protocol/http/request_target.h"
 #include "protocol/operator_documents/operator_documents.h"
 
 namespace peridot {
@@ -23,25 +22,10 @@
 
 } // namespace
 
-std::string_view queryValue(std::string_view Path, std::string_view Name) {
-  const std::size_t QueryStart = Path.find('?');
-  std::string_view Query =
-      QueryStart == Path.npos ? "" : Path.substr(QueryStart + 1);
-  while (!Query.empty()) {
-    const std::string_view Pair = Query.substr(0, Query.find('&'));
-    const std::size_t Equals = Pair.find('=');
-    if (Equals != std::string_view::npos && Pair.substr(0, Equals) == Name)
-      return Pair.substr(Equals + 1);
-    Query.remove_prefix(std::min(Query.size(), Pair.size() + 1));
-  }
-  return {};
-}
-
 operator_response
 operator_pages::respond(const operator_request &Request) const {
   const std::string_view RequestTarget = Request.Path;
-  const std::string_view Page =
-      RequestTarget.substr(0, RequestTarget.find('?'));
+  const std::string_view Page = pathOf(RequestTarget);
   if (Page == "/metrics")
     return {.ContentType = "text/plain",
             .Body = encodeMetrics(Context.Metrics)};
@@ -72,8 +56,8 @@
 }
 
 operator_response operator_pages::journal(std::string_view Path) const {
-  const std::string_view Kind = queryValue(Path, "kind");
-  const std::string_view Name = queryValue(Path, "name");
+  const std::string Kind = queryValue(Path, "kind");
+  const std::string Name = queryValue(Path, "name");
   std::vector<journal_entry> Entries;
   for (const decision &Decision : Context.Decisions.journal().all())
     if ((Kind.empty() || Kind == nameOf(Decision.Subject)) &&
--- a/src/transport/node/internal/operator_pages.h
+++ b/src/transport/node/internal/operator_pages.h
@@ -39,8 +39,4 @@
   page_sources Sources;
 };
 
-/// Returns the value of parameter \p Name in the query of \p Path, empty if it
-/// is missing. Escapes are not decoded, as no name needs them.
-std::string_view queryValue(std::string_view Path, std::string_view Name);
-
 } // namespace peridot
--- a/src/transport/node/internal/store_control.cpp
+++ b/src/transport/node/internal/store_control.cpp
@@ -10,9 +10,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <openssl/rand.h>
 
+#include "protocol/http/request_target.h"
 #include "protocol/operator_documents/operator_documents.h"
 #include "transport/logging/event_log.h"
-#include "transport/node/internal/operator_pages.h"
 
 namespace peridot {
 
@@ -273,7 +273,7 @@
 operator_response
 store_control::respond(const operator_request &Request) const {
   const std::string_view Path = Request.Path;
-  const std::string_view Page = Path.substr(0, Path.find('?'));
+  const std::string_view Page = pathOf(Path);
   if (Page == Adapter.Directory.ReadinessPath)
     return {.Status = isReady() ? 200U : 503U, .Body = "{}"};
   if (Page != Adapter.Directory.AddressesPath)
--- a/src/transport/platform/internal/platform_client.cpp
+++ b/src/transport/platform/internal/platform_client.cpp
@@ -24,7 +24,12 @@
   co_return co_await Caller.call(std::move(Request), Timeout);
 }
 
-platform_request makeRequest(http::verb Verb, std::string_view Target) {
+/// Returns the path of an object.
+request_target pathOfObject(std::string_view Name) {
+  return request_target("/objects").addSegment(Name);
+}
+
+platform_request makeRequest(http::verb Verb, const request_target &Target) {
   return makePlatformRequest(Verb, Target, false);
 }
 
@@ -60,7 +65,7 @@
 
 task<result<std::optional<stored_object>>>
 platform_client::read(std::string Name) {
-  platform_request Request = makeRequest(http::verb::get, "/objects/" + Name);
+  platform_request Request = makeRequest(http::verb::get, pathOfObject(Name));
   co_return objectFrom(co_await exchange(Loop, Options, Options.CallTimeout,
                                          std::move(Request)));
 }
@@ -69,9 +74,11 @@
 platform_client::watch(std::string Name, std::uint64_t After,
                        std::chrono::milliseconds Wait,
                        std::chrono::milliseconds Grace) {
-  platform_request Request = makeRequest(
-      http::verb::get, "/objects/" + Name + "?after=" + std::to_string(After) +
-                           "&wait_ms=" + std::to_string(Wait.count()));
+  platform_request Request =
+      makeRequest(http::verb::get,
+                  pathOfObject(Name)
+                      .addParameter("after", std::to_string(After))
+                      .addParameter("wait_ms", std::to_string(Wait.count())));
   co_return objectFrom(
       co_await exchange(Loop, Options, Wait + Grace, std::move(Request)));
 }
@@ -79,7 +86,7 @@
 task<result<std::uint64_t>> platform_client::write(std::string Name,
                                                    std::uint64_t Expected,
                                                    std::string Body) {
-  platform_request Request = makeRequest(http::verb::put, "/objects/" + Name);
+  platform_request Request = makeRequest(http::verb::put, pathOfObject(Name));
   Request.set(view(IfVersionField), std::to_string(Expected));
   Request.body() = std::move(Body);
   Request.prepare_payload();
@@ -97,7 +104,8 @@
 }
 
 task<result<std::vector<listed_vm>>> platform_client::listVms() {
-  platform_request Request = makeRequest(http::verb::get, "/vms");
+  platform_request Request =
+      makeRequest(http::verb::get, request_target("/vms"));
   const result<platform_response> Response =
       co_await exchange(Loop, Options, Options.CallTimeout, std::move(Request));
   if (!Response)
--- a/src/transport/platform/internal/platform_connection.cpp
+++ b/src/transport/platform/internal/platform_connection.cpp
@@ -37,10 +37,10 @@
 
 } // namespace
 
-platform_request makePlatformRequest(http::verb Verb, std::string_view Target,
+platform_request makePlatformRequest(http::verb Verb,
+                                     const request_target &Target,
                                      bool KeepOpen) {
-  platform_request Request(
-      Verb, beast::string_view(Target.data(), Target.size()), 11);
+  platform_request Request(Verb, Target.text(), 11);
   Request.set(http::field::host, "platform");
   Request.keep_alive(KeepOpen);
   return Request;
--- a/src/transport/platform/platform_connection.h
+++ b/src/transport/platform/platform_connection.h
@@ -2,14 +2,13 @@
 /// One persistent connection to the platform's HTTP service.
 #pragma once
 
-#include <chrono>
-#include <optional>
-#include <string_view>
-
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <optional>
 
+#include "protocol/http/request_target.h"
 #include "state/base/types/error.h"
 #include "transport/runtime/asio_types.h"
 
@@ -23,7 +22,8 @@
 /// Returns a request without a body. The connection closes after the response
 /// unless \p KeepOpen.
 platform_request makePlatformRequest(boost::beast::http::verb Verb,
-                                     std::string_view Target, bool KeepOpen);
+                                     const request_target &Target,
+                                     bool KeepOpen);
 
 /// Returns the error for a response with an unexpected status.
 tl::unexpected<error> unexpectedResponse(const platform_response &Response);
--- a/tests/stand_ins/platform/main.cpp
+++ b/tests/stand_ins/platform/main.cpp
@@ -38,7 +38,8 @@
       co_return handler_result{listVms()};
     if (!Target.starts_with(ObjectsPrefix))
       co_return handler_result{textResponse(404, "no such call")};
-    const std::string Name(pathOf(Target).substr(ObjectsPrefix.size()));
+    const std::string Name =
+        decodeSegment(pathOf(Target).substr(ObjectsPrefix.size()));
     if (Request.method() == http::verb::put)
       co_return write(Request, Name);
     if (!queryValue(Target, "after", "").empty())
