--- a/src/protocol/http/request_target.h
+++ b/src/protocol/http/request_target.h
@@ -11,7 +11,7 @@
 /// Path and query of a request (RFC 9112, origin form).
 class request_target {
 public:
-  /// \param Path an encoded path without a query, for example `/v1/objects`.
+  /// \param Path an encoded path without a query, for example `/journal`.
   explicit request_target(std::string_view Path) : Text(Path) {}
 
   /// Appends a segment to the path; must not follow a parameter. A slash in
