End lists that do not advance; take no part of a list for the whole

What callers saw: while the store returned the same page again, no request was served after a start, and a VM called the store without pause. After a page whose entries had no names, all targets in use counted as gone: 503.

Cause: the loop over the pages went on as long as the store said that entries follow, and took a page without names for the end of the list.

Such a list has a gap, is logged with its collection and last name, and counted. Its entries are used, nothing is removed because of it, changes are followed from the position of the copy, and the collection is listed again after eight results.

--- a/src/coordination/registry/collection_sync.h
+++ b/src/coordination/registry/collection_sync.h
@@ -32,6 +32,9 @@
   duration InitialRetryDelay = std::chrono::milliseconds(100);
   /// Initial value; see collection_sync::setMaxRetryDelay.
   duration MaxRetryDelay = std::chrono::milliseconds(400);
+  /// Number of watches and relayed changes after which a collection is listed
+  /// again whose last list lacked entries.
+  unsigned ResultsPerPartialList = 8;
 };
 
 /// Range of store history that another VM has read: all changes after one
@@ -64,6 +67,13 @@
   /// Records that a list or watch brought the copy up to \p Reached, and
   /// whether that changed it.
   void recordPosition(std::uint64_t Reached, bool Changed);
+  /// Records that a whole list brought the copy up to \p Reached.
+  void recordList(std::uint64_t Reached, bool Changed);
+  /// Records a list up to \p Reached that lacks entries. Changes are followed
+  /// from the earlier position, if there is one, as only they show removals.
+  void recordPartialList(std::uint64_t Reached);
+  /// Whether the copy may lack entries that no change will bring.
+  bool isPartial() const { return IsPartial; }
   /// Decides whether to apply relayed changes. If the result is Apply, they
   /// count as applied.
   relay_decision acceptRelayed(const relayed_range &Range);
@@ -101,6 +111,9 @@
   unsigned failureCount() const { return Failures; }
 
 private:
+  /// Counts a result that did not list the collection.
+  void countResult();
+
   sync_options Options;
   std::optional<std::uint64_t> Position;
   std::uint64_t LastChange = 0;
@@ -108,6 +121,9 @@
   unsigned Failures = 0;
   /// Whether changes are known to be missing from the copy.
   bool HasGap = false;
+  bool IsPartial = false;
+  /// Watches and relayed changes since a list that lacked entries.
+  unsigned ResultsSincePartialList = 0;
   /// Last change that other VMs know of.
   std::uint64_t PeerChange = 0;
   /// PeerChange at the last comparison.
--- a/src/coordination/registry/internal/collection_sync.cpp
+++ b/src/coordination/registry/internal/collection_sync.cpp
@@ -23,6 +23,25 @@
   Failures = 0;
   HasGap = false;
   Pause = Changed && !IsList ? Options.BatchDelay : duration{0};
+  countResult();
+}
+
+void collection_sync::recordList(std::uint64_t Reached, bool Changed) {
+  IsPartial = false;
+  recordPosition(Reached, Changed);
+}
+
+void collection_sync::recordPartialList(std::uint64_t Reached) {
+  Position = Position.value_or(Reached);
+  Failures = 0;
+  HasGap = false;
+  IsPartial = true;
+  ResultsSincePartialList = 0;
+}
+
+void collection_sync::countResult() {
+  if (IsPartial && ++ResultsSincePartialList >= Options.ResultsPerPartialList)
+    HasGap = true;
 }
 
 relay_decision collection_sync::acceptRelayed(const relayed_range &Range) {
@@ -34,6 +53,7 @@
     return relay_decision::Known;
   Position = Range.Position;
   LastChange = Range.Position;
+  countResult();
   return relay_decision::Apply;
 }
 
@@ -44,6 +64,7 @@
   Position = Reached;
   LastChange = SnapshotChange;
   HasGap = false;
+  IsPartial = false;
   return true;
 }
 
--- a/src/coordination/registry/tests/collection_sync_test.cpp
+++ b/src/coordination/registry/tests/collection_sync_test.cpp
@@ -139,3 +139,38 @@
   CHECK(Sync.lastChange() == 9);
   CHECK(!Sync.acceptSnapshot(11, 9));
 }
+
+// Guards against a list that lacks entries and hides removals from then on.
+TEST_CASE_FIXTURE(collection_sync_fixture,
+                  "recordPartialList_firstList_followsChangesAndListsLater") {
+  Sync.recordPartialList(7);
+  CHECK(Sync.isPartial());
+  for (unsigned Result = 0; Result < sync_options{}.ResultsPerPartialList;
+       ++Result) {
+    CHECK(std::get<watch_step>(nextCall()).After == 7);
+    Sync.recordPosition(7, false);
+  }
+  CHECK(std::holds_alternative<list_step>(nextCall()));
+  Sync.recordList(9, true);
+  CHECK_FALSE(Sync.isPartial());
+  CHECK(std::get<watch_step>(nextCall()).After == 9);
+}
+
+TEST_CASE_FIXTURE(collection_sync_fixture,
+                  "recordPartialList_earlierCopy_followsFromItsPosition") {
+  Sync.recordList(7, true);
+  Sync.recordFailure();
+  Sync.recordPartialList(12);
+  CHECK(std::get<watch_step>(nextCall()).After == 7);
+}
+
+TEST_CASE_FIXTURE(collection_sync_fixture,
+                  "recordPartialList_changesRelayed_listsLater") {
+  Sync.recordPartialList(7);
+  for (std::uint64_t Result = 1; Result <= sync_options{}.ResultsPerPartialList;
+       ++Result) {
+    CHECK_FALSE(Sync.needsList());
+    Sync.acceptRelayed({.After = 7, .Position = 7 + Result});
+  }
+  CHECK(Sync.needsList());
+}
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -22,6 +22,15 @@
 /// Number of consecutive failures after which the store counts as unreachable.
 constexpr unsigned FailuresUntilUnreachable = 2;
 
+/// Whether a list of the configuration shows the one in force, which a list
+/// that lacks entries may not.
+bool showsConfiguration(const store_items &Items) {
+  return !Items.Gap ||
+         std::ranges::any_of(Items.Items, [](const store_item &Item) {
+           return std::holds_alternative<fleet_configuration>(Item.Content);
+         });
+}
+
 } // namespace
 
 store_follower::store_follower(node_services &Services, fleet_store &Store,
@@ -204,9 +213,17 @@
         .Document = Archive.packChanges(Collection, *Items)};
   // Applied before the store counts as reachable again, so that the targets'
   // entries are in place by then.
-  const bool Changed = apply(Collection, *Items, !Watch);
-  Progress.recordPosition(Items->Position, Changed);
-  if (!Watch && Collection == fleet_collection::Configuration)
+  reportUnlisted(Collection, *Items);
+  const bool IsWholeList = !Watch && !Items->Gap;
+  const bool Changed = apply(Collection, *Items, IsWholeList);
+  if (Watch)
+    Progress.recordPosition(Items->Position, Changed);
+  else if (Items->Gap)
+    Progress.recordPartialList(Items->Position);
+  else
+    Progress.recordList(Items->Position, Changed);
+  if (!Watch && Collection == fleet_collection::Configuration &&
+      showsConfiguration(*Items))
     updateKeysConfirmedAt(StartedAt);
   if (Current && !Watch)
     OnRead();
@@ -226,7 +243,8 @@
   const auto Items = co_await Store.List(fleet_collection::Configuration,
                                          read_freshness::Current);
   Services.Metrics.getOrCreateCounter("peridot_store_calls_total").add();
-  if (Items) {
+  const bool IsConfirmed = Items && showsConfiguration(*Items);
+  if (IsConfirmed) {
     // The position stays unchanged, so that the next result of the watch
     // follows on its last one without a gap.
     for (const store_item &Item : Items->Items)
@@ -239,11 +257,12 @@
       OnRead();
   } else {
     logEvent(log_level::Warning, "confirmation-failed",
-             {{"cause", std::string_view(Items.error().Message)}});
+             {{"cause", std::string_view(Items ? Items->Gap->Cause
+                                               : Items.error().Message)}});
   }
   for (const confirmation_callback &Each :
        std::exchange(PendingConfirmations, {}))
-    Each(Items ? std::optional(StartedAt) : std::nullopt);
+    Each(IsConfirmed ? std::optional(StartedAt) : std::nullopt);
 }
 
 void store_follower::updateKeysConfirmedAt(instant StartedAt) {
@@ -307,6 +326,26 @@
             {"cause", std::string_view(Content.Reason)}});
 }
 
+void store_follower::reportUnlisted(fleet_collection Collection,
+                                    const store_items &Items) {
+  if (Items.UnnamedCount > 0) {
+    Services.Metrics.getOrCreateCounter("peridot_store_unreadable_total")
+        .add(Items.UnnamedCount);
+    logEvent(log_level::Warning, "store-entries-unnamed",
+             {{"collection", nameOf(Collection)},
+              {"entries", static_cast<std::int64_t>(Items.UnnamedCount)}});
+  }
+  if (!Items.Gap)
+    return;
+  Services.Metrics.getOrCreateCounter("peridot_store_partial_lists_total")
+      .add();
+  logEvent(log_level::Warning, "store-list-partial",
+           {{"collection", nameOf(Collection)},
+            {"last_name", std::string_view(Items.Gap->LastName)},
+            {"cause", std::string_view(Items.Gap->Cause)},
+            {"rule", "entries that were read are used, others stay in use"}});
+}
+
 bool store_follower::applyConfiguration(const store_items &Items) {
   bool IsNewer = false;
   const configuration_ptr InForce = Services.Snapshots.current().Configuration;
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -135,6 +135,8 @@
   void updateReachability(bool Succeeded);
   void reportUnreadable(const store_item &Item,
                         const unreadable_content &Content);
+  /// Reports objects without a name and a list that lacks entries.
+  void reportUnlisted(fleet_collection Collection, const store_items &Items);
 
   node_services &Services;
   fleet_store &Store;
--- a/src/transport/node/internal/store_follower_peers.cpp
+++ b/src/transport/node/internal/store_follower_peers.cpp
@@ -129,9 +129,10 @@
 
 std::optional<store_snapshot>
 store_follower::makeSnapshot(fleet_collection Collection) {
-  if (syncOf(Collection).needsList())
+  const collection_sync &Progress = syncOf(Collection);
+  if (Progress.needsList() || Progress.isPartial())
     return std::nullopt;
-  return Archive.snapshot(Collection, syncOf(Collection));
+  return Archive.snapshot(Collection, Progress);
 }
 
 void store_follower::applySnapshot(const store_snapshot &Snapshot) {
--- a/src/transport/platform/types/fleet_store.h
+++ b/src/transport/platform/types/fleet_store.h
@@ -52,12 +52,23 @@
   std::string Text;
 };
 
+/// Why a list lacks entries of the store.
+struct list_gap {
+  std::string Cause;
+  std::string LastName; ///< Last name after which entries were requested.
+};
+
 /// Result of a list or watch: objects or changes up to a position in the
 /// store's history.
 struct store_items {
   std::vector<store_item> Items;
   std::uint64_t Position = 0;
   bool IsHistoryGone = false; ///< Changes are no longer kept; list again.
+  /// Number of objects without a name, which are not among the items.
+  std::size_t UnnamedCount = 0;
+  /// Set if a list has only some of the entries. Those that it lacks may still
+  /// exist.
+  std::optional<list_gap> Gap;
   /// The store's unchanged response to a watch, to relay to other VMs.
   std::string Document;
 };
@@ -73,6 +84,7 @@
 /// Calls to the store, made on the control thread. After a Timeout or
 /// Unavailable error a write may still have taken effect.
 struct fleet_store {
+  /// Fails only if nothing of the list could be read.
   std::function<task<result<store_items>>(fleet_collection, read_freshness)>
       List;
   /// Returns as soon as there is a change, or no items after the wait.
--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -1,8 +1,13 @@
 #include <chrono>
+#include <mutex>
+#include <random>
 #include <thread>
 
+#include <boost/json.hpp>
+
 #include <doctest/doctest.h>
 
+#include "support/scripted_target.h"
 #include "support/store_fleet.h"
 
 using namespace peridot::test;
@@ -14,13 +19,21 @@
 /// Spec of an entry that names no target to use.
 constexpr const char *UnusableSpec = R"({"service":7})";
 
+const store_account Keepers{.Name = "keepers",
+                            .Keys = {"keeper-key"},
+                            .RequestsPerSecond = 400,
+                            .Burst = 400};
+
+/// Time within which a node follows a change of the store.
+constexpr auto ChangeTimeout = 2s;
+
+/// Time within which a node removes a target whose entry is gone.
+constexpr auto RemovalTimeout = 4s;
+
 /// Two targets; nodes start after another writer has stored its entries.
 struct odd_entries_fixture : store_fleet {
   odd_entries_fixture() {
-    writeConfiguration(1, {{.Name = "keepers",
-                            .Keys = {"keeper-key"},
-                            .RequestsPerSecond = 400,
-                            .Burst = 400}});
+    writeConfiguration(1, {Keepers});
     addTarget("hive-1", "lakes-a");
     addTarget("hive-2", "lakes-a");
   }
@@ -42,12 +55,49 @@
     return Served;
   }
 
-  bool isServed() {
-    return callWithKey(Nodes.back()->Node.CallerPort, "/logs/1", "keeper-key",
+  bool isServed(const std::string &Path = "/logs/1",
+                const std::string &Key = "keeper-key") {
+    return callWithKey(Nodes.back()->Node.CallerPort, Path, Key,
                        "r" + std::to_string(++LastId), "hive")
                .Status == 200;
   }
 
+  /// Lets the store forget its history, so that nodes list everything again.
+  void listAgain() const {
+    // Moves the history beyond the positions of the watches.
+    createEntry("moves-history", "a", "{}");
+    setPlatformFaults("forget=1&deaf=1");
+    for (const auto &Each : Nodes)
+      Each->Node.Process->awaitLine("\"store-history-gone\"");
+    std::this_thread::sleep_for(RemovalTimeout);
+  }
+
+  /// Whether the node reaches the store, according to its log.
+  bool reachesStore() const {
+    bool Reaches = false;
+    for (const std::string &Line : Nodes.back()->Node.Process->lines())
+      if (Line.find("\"store-lost\"") != Line.npos)
+        Reaches = false;
+      else if (Line.find("\"store-regained\"") != Line.npos)
+        Reaches = true;
+    return Reaches;
+  }
+
+  /// Returns the spec of a usable entry of a target on this machine.
+  static std::string usableSpec(std::uint16_t Port) {
+    namespace json = boost::json;
+    return json::serialize(json::value{
+        {"address", "127.0.0.1:" + std::to_string(Port)},
+        {"info",
+         {{"service", "hive"},
+          {"zone", "lakes-a"},
+          {"version", "v1"},
+          {"max-concurrency", DefaultSlots}}},
+        {"status",
+         {{"state", "ready"}, {"sequence", 1}, {"warmup-left", "0ms"}}},
+        {"born", 1}});
+  }
+
   int LastId = 0;
 };
 
@@ -66,3 +116,69 @@
       CHECK(Fleet.countServedAfterStart() == 20);
     }
 }
+
+// The same for the lists of VMs and of the configuration, and for entries that
+// come while the node runs.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_oddEntriesInAllCollections_requestsServed") {
+  for (const char *Kind : {"config", "peridot-vms", "evacuations", "servers"})
+    for (const char *Name : {"a c", "a%zz", "a&watch=0", "z\r\nX: 1"})
+      createEntry(Kind, Name, UnusableSpec);
+  setPlatformLists("page_size=2&strict=1");
+  NodeFlags = {"--evacuation_bound=2s"};
+  CHECK(countServedAfterStart() == 20);
+  for (const char *Kind : {"config", "peridot-vms", "evacuations", "servers"})
+    createEntry(Kind, "later\r\n%zz &a=b", "[[[1e400]]]");
+  removeTarget(*Targets[0]);
+  addTarget("hive-3", "lakes-a");
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(countServed(20) == 20);
+  CHECK(Targets[2]->Target.executions() != "[]");
+}
+
+// Guards against a page whose entries have no names: the list ended there as if
+// it were whole, and targets that follow counted as gone.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_pageWithoutNames_targetsStayInUse") {
+  CHECK(countServedAfterStart() == 20);
+  createEntry("servers", "a-1", UnusableSpec);
+  createEntry("servers", "a-2", UnusableSpec);
+  setPlatformLists("page_size=2&hidden_prefix=a-");
+  listAgain();
+  CHECK(countServed(20) == 20);
+}
+
+// The same at the start of a node: what comes before such a page is in use.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_startsBesidePageWithoutNames_earlierTargetsInUse") {
+  createEntry("servers", "x-1", UnusableSpec);
+  createEntry("servers", "x-2", UnusableSpec);
+  createEntry("servers", "x-3", UnusableSpec);
+  setPlatformLists("page_size=2&hidden_prefix=x-");
+  CHECK(countServedAfterStart() == 20);
+  // Changes are followed, removals too.
+  addTarget("hive-3", "lakes-a");
+  std::this_thread::sleep_for(ChangeTimeout);
+  removeTarget(*Targets[0]);
+  removeTarget(*Targets[1]);
+  std::this_thread::sleep_for(ChangeTimeout);
+  const std::string Before = Targets[2]->Target.executions();
+  CHECK(countServed(20) == 20);
+  CHECK(Targets[2]->Target.executions() != Before);
+  // Once the cause has gone, the list is whole again.
+  setPlatformLists("page_size=2");
+  addTarget("hive-4", "lakes-a");
+  removeTarget(*Targets[2]);
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(countServed(20) == 20);
+}
+
+// Guards against a store that lists the same page again and again.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_pageDoesNotAdvance_requestsServedWithFewCalls") {
+  setPlatformLists("page_size=1&ignore_after=1");
+  CHECK(countServedAfterStart() == 20);
+  const int Before = platformCallCount("servers");
+  std::this_thread::sleep_for(2s);
+  CHECK(platformCallCount("servers") - Before < 20);
+}
--- a/tests/integration/store_list_test.cpp
+++ b/tests/integration/store_list_test.cpp
@@ -54,7 +54,7 @@
     std::string Names;
     for (const store_item &Item : (*Listed)->Items)
       Names += Names.empty() ? Item.Name : " | " + Item.Name;
-    return Names;
+    return (*Listed)->Gap ? Names + " | gap" : Names;
   }
 
   void createTargets(const std::vector<std::string> &Names) const {
@@ -85,3 +85,21 @@
       CHECK(Store.platformCallCount("servers") == 2);
     }
 }
+
+// Guards against a store that returns the same page whatever the query says:
+// the calls did not end, and the VM kept every page.
+TEST_CASE_FIXTURE(store_list_fixture, "list_pageDoesNotAdvance_ends") {
+  createTargets({"a", "b", "c", "d"});
+  setPlatformLists("page_size=2&ignore_after=1");
+  CHECK(listedNames() == "a | b | gap");
+  CHECK(platformCallCount("servers") == 2);
+}
+
+// Guards against a part of a list that is taken for the whole.
+TEST_CASE_FIXTURE(store_list_fixture, "list_pageWithoutNames_gapTold") {
+  createTargets({"a", "n1", "n2", "z"});
+  setPlatformLists("page_size=1&hidden_prefix=n");
+  CHECK(listedNames() == "a | gap");
+  setPlatformLists("page_size=3&hidden_prefix=n");
+  CHECK(listedNames() == "a | z");
+}
