Read the other collections when one cannot be listed

What callers saw: a node whose list of VMs was refused read nothing else and served nothing. With the list of targets refused, the store counted as unreachable although all other calls succeeded.

Cause: two failed calls for one collection made the store unreachable for all, and then only one collection, always the same, was tried.

Fix: store_reachability. Failures of one collection do not count while others are read, and after a response of no use the next collection is tried. A store that does not respond is tried as before. A 4xx other than 408 and 429 rejects the call and is no sign of an outage.

--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -19,9 +19,6 @@
 /// Time within which changes read by another VM must arrive here; after that
 /// they count as missing.
 constexpr std::chrono::milliseconds ComparePeriod{250};
-/// Number of consecutive failures after which the store counts as unreachable.
-constexpr unsigned FailuresUntilUnreachable = 2;
-
 /// Whether a list of the configuration shows the one in force, which a list
 /// that lacks entries may not.
 bool showsConfiguration(const store_items &Items) {
@@ -45,7 +42,8 @@
       Followed(
           followedCollections(Services.Settings.EvacuationBound.has_value())),
       Archive(Store), WakeTimer(Services.Loop), RetryTimer(Services.Loop),
-      Targets(Services), Evacuations(Services, Targets) {
+      Targets(Services), Evacuations(Services, Targets),
+      Reachability(Followed) {
   WakeTimer.expires_at(asio::steady_timer::time_point::max());
 }
 
@@ -75,8 +73,9 @@
 }
 
 fleet_collection store_follower::probedCollection() const {
-  return position(fleet_collection::Vms) == 0 ? fleet_collection::Vms
-                                              : fleet_collection::Configuration;
+  return Reachability.probed(position(fleet_collection::Vms) == 0
+                                 ? fleet_collection::Vms
+                                 : fleet_collection::Configuration);
 }
 
 read_freshness store_follower::freshnessFor(fleet_collection Collection) const {
@@ -89,7 +88,7 @@
 
 bool store_follower::shouldQuery(fleet_collection Collection) const {
   // While the store is unreachable, only one collection is retried.
-  if (!IsReachable)
+  if (!Reachability.isReachable())
     return Collection == probedCollection() &&
            (IsWatcher || !Peers.IsOutageReported());
   if (IsWatcher || syncOf(Collection).needsList())
@@ -120,22 +119,30 @@
     }
     const sync_step Step = Progress.next();
     if (const auto *Pause = std::get_if<pause_step>(&Step)) {
-      asio::steady_timer &Timer = IsReachable ? Delay : RetryTimer;
+      asio::steady_timer &Timer = isStoreReachable() ? Delay : RetryTimer;
       Timer.expires_after(Pause->Delay);
       co_await Timer.async_wait(UseTaskTuple);
       continue;
     }
     bool &IsWatchRunning = IsWatching[static_cast<std::size_t>(Collection)];
     IsWatchRunning = std::holds_alternative<watch_step>(Step);
-    const bool Succeeded = co_await tryExecute(Collection, Step);
+    const call_end End = co_await tryExecute(Collection, Step);
     IsWatchRunning = false;
-    if (!Succeeded)
-      Progress.recordFailure();
-    // A single failure shows neither that the store is unreachable nor that it
-    // is reachable again.
-    if (Succeeded || Progress.failureCount() >= FailuresUntilUnreachable)
-      updateReachability(Succeeded);
+    recordCall(Collection, End);
+  }
+}
+
+void store_follower::recordCall(fleet_collection Collection, call_end End) {
+  if (End == call_end::Succeeded) {
+    Reachability.recordSuccess(Collection);
+  } else {
+    collection_sync &Progress = syncOf(Collection);
+    Progress.recordFailure();
+    Reachability.recordFailure(Collection,
+                               {.Failures = Progress.failureCount(),
+                                .WasAnswered = End == call_end::Unusable});
   }
+  updateReachability();
 }
 
 void store_follower::setMaxRetryDelay(duration Delay) {
@@ -155,21 +162,22 @@
   for (const fleet_collection Each : Followed)
     if (Each != fleet_collection::Vms)
       syncOf(Each).recordFailure();
-  updateReachability(false);
+  Reachability.recordUnreachable();
+  updateReachability();
 }
 
-task<bool> store_follower::tryExecute(fleet_collection Collection,
-                                      const sync_step &Step) {
+task<store_follower::call_end>
+store_follower::tryExecute(fleet_collection Collection, const sync_step &Step) {
   try {
     co_return co_await execute(Collection, Step);
   } catch (const std::exception &Error) {
     logHandlerFailure(Error.what());
   }
-  co_return false;
+  co_return call_end::Unusable;
 }
 
-task<bool> store_follower::execute(fleet_collection Collection,
-                                   const sync_step &Step) {
+task<store_follower::call_end>
+store_follower::execute(fleet_collection Collection, const sync_step &Step) {
   collection_sync &Progress = syncOf(Collection);
   const auto *Watch = std::get_if<watch_step>(&Step);
   const instant StartedAt = Services.Timers.now();
@@ -191,18 +199,20 @@
               {"watch", Watch != nullptr},
               {"cause", std::string_view(Items.error().Message)},
               {"failures", std::int64_t{Progress.failureCount() + 1}}});
-    co_return false;
+    co_return Items.error().Kind == error_kind::Protocol ? call_end::Unusable
+                                                         : call_end::NoResponse;
   }
   if (Items->IsHistoryGone) {
     logEvent(log_level::Info, "store-history-gone",
              {{"collection", nameOf(Collection)}});
     Progress.recordHistoryGone();
-    co_return true;
+    co_return call_end::Succeeded;
   }
   const bool Current = Freshness == read_freshness::Current;
   recordStorePosition(Items->Position);
   if (!Progress.accepts(Items->Position))
-    co_return true; // Relayed changes have already brought the copy further.
+    // Relayed changes have already brought the copy further.
+    co_return call_end::Succeeded;
   std::optional<store_changes> Relayed;
   // The range begins at the last change, so that it also follows on copies that
   // were read at other positions since.
@@ -229,7 +239,7 @@
     OnRead();
   if (Relayed)
     OnChanges(*Relayed);
-  co_return true;
+  co_return call_end::Succeeded;
 }
 
 void store_follower::confirmKeys(confirmation_callback Callback) {
@@ -252,7 +262,8 @@
     const bool IsNewer = applyConfiguration(*Items);
     recordStorePosition(Items->Position);
     updateKeysConfirmedAt(StartedAt);
-    updateReachability(true);
+    Reachability.recordSuccess(fleet_collection::Configuration);
+    updateReachability();
     if (IsNewer)
       OnRead();
   } else {
@@ -274,19 +285,19 @@
                                 Services.Settings.KeyStalenessLimit);
 }
 
-void store_follower::updateReachability(bool Succeeded) {
-  if (Succeeded == IsReachable)
+void store_follower::updateReachability() {
+  const bool IsReachable = Reachability.isReachable();
+  if (IsReachable == std::exchange(WasReachable, IsReachable))
     return;
-  IsReachable = Succeeded;
   WakeTimer.cancel();
   Services.Decisions.record(
-      {.Kind =
-           Succeeded ? decision_kind::StoreRegained : decision_kind::StoreLost,
+      {.Kind = IsReachable ? decision_kind::StoreRegained
+                           : decision_kind::StoreLost,
        .Subject = subject_kind::Vm,
        .Name = Services.Self.Vm.str(),
-       .Cause = Succeeded ? "a call to the store succeeded"
-                          : "calls to the store failed",
-       .Rule = "while the store is unreachable, only the configuration is "
+       .Cause = IsReachable ? "a call to the store succeeded"
+                            : "calls to the store failed",
+       .Rule = "while the store is unreachable, only one collection is "
                "retried"});
 }
 
--- a/src/transport/node/internal/store_follower.h
+++ b/src/transport/node/internal/store_follower.h
@@ -11,6 +11,7 @@
 
 #include "coordination/registry/collection_sync.h"
 #include "coordination/registry/seen_revisions.h"
+#include "coordination/registry/store_reachability.h"
 #include "coordination/registry/types/store_messages.h"
 #include "transport/node/control_context.h"
 #include "transport/node/internal/evacuation_publisher.h"
@@ -95,15 +96,22 @@
   void updateKeysConfirmedAt(instant StartedAt);
   /// Returns the start time of the last read that confirmed the keys.
   instant keysConfirmedAt() const { return KeysConfirmedAt; }
-  bool isStoreReachable() const { return IsReachable; }
+  bool isStoreReachable() const { return Reachability.isReachable(); }
 
 private:
   /// Lists and watches a collection; never returns.
   task<void> follow(fleet_collection Collection);
-  /// Makes one call to the store. Returns false if it failed.
-  task<bool> execute(fleet_collection Collection, const sync_step &Step);
-  /// Calls execute(); an unexpected error counts as a failed call.
-  task<bool> tryExecute(fleet_collection Collection, const sync_step &Step);
+  /// How a call to the store ended.
+  enum class call_end {
+    Succeeded,
+    NoResponse, ///< The store did not respond, or said that it is unavailable.
+    Unusable    ///< It responded with something that cannot be used.
+  };
+  /// Makes one call to the store.
+  task<call_end> execute(fleet_collection Collection, const sync_step &Step);
+  /// Calls execute(); an unexpected error counts as a response of no use.
+  task<call_end> tryExecute(fleet_collection Collection, const sync_step &Step);
+  void recordCall(fleet_collection Collection, call_end End);
   task<void> readConfiguration();
   /// Reads a whole collection while a watch on it is still open.
   task<void> catchUp(fleet_collection Collection);
@@ -132,7 +140,8 @@
              bool IsList);
   /// \returns whether a newer configuration came into force.
   bool applyConfiguration(const store_items &Items);
-  void updateReachability(bool Succeeded);
+  /// Acts on a change of Reachability since the previous call.
+  void updateReachability();
   void reportUnreadable(const store_item &Item,
                         const unreadable_content &Content);
   /// Reports objects without a name and a list that lacks entries.
@@ -178,7 +187,9 @@
   target_publisher Targets;
   evacuation_publisher Evacuations;
   bool IsWatcher = false;
-  bool IsReachable = false;
+  store_reachability Reachability;
+  /// Reachability as of the last updateReachability().
+  bool WasReachable = false;
   instant KeysConfirmedAt{};
   /// Callbacks that wait for the same read.
   std::vector<confirmation_callback> PendingConfirmations;
--- a/src/transport/node/internal/store_follower_peers.cpp
+++ b/src/transport/node/internal/store_follower_peers.cpp
@@ -30,7 +30,7 @@
   const collection_sync &Progress = syncOf(Collection);
   const bool IsFirstListOfVms =
       Collection == fleet_collection::Vms && Progress.position() == 0;
-  return !IsWatcher && IsReachable && Progress.needsList() &&
+  return !IsWatcher && isStoreReachable() && Progress.needsList() &&
          Progress.failureCount() == 0 && !IsFirstListOfVms;
 }
 
@@ -70,7 +70,7 @@
 
 void store_follower::compareWithPeers(instant Now) {
   // Reports of other VMs may have become too old.
-  if (!IsReachable)
+  if (!isStoreReachable())
     WakeTimer.cancel();
   std::array<bool, AllCollections.size()> NeededList{};
   for (const fleet_collection Each : Followed)
@@ -89,7 +89,7 @@
     logEvent(log_level::Info, "store-changes-missing",
              {{"collection", nameOf(Each)},
               {"position", static_cast<std::int64_t>(Progress.position())}});
-    if (!IsReachable)
+    if (!isStoreReachable())
       Peers.RequestSnapshot(Each);
     // An open watch may wait up to MaxWatchWait, so the list runs beside it.
     if (IsWatching[static_cast<std::size_t>(Each)])
--- a/src/transport/platform/internal/platform_connection.cpp
+++ b/src/transport/platform/internal/platform_connection.cpp
@@ -47,6 +47,16 @@
 }
 
 tl::unexpected<error> unexpectedResponse(const platform_response &Response) {
+  const bool IsRejected = http::to_status_class(Response.result()) ==
+                              http::status_class::client_error &&
+                          Response.result() != http::status::request_timeout &&
+                          Response.result() != http::status::too_many_requests;
+  if (IsRejected)
+    return fail(error_kind::Protocol,
+                "the platform rejected a call with status " +
+                    std::to_string(Response.result_int()),
+                "check that the configured address is that of the platform's "
+                "service");
   return fail(error_kind::Unavailable,
               "the platform responded with unexpected status " +
                   std::to_string(Response.result_int()),
--- a/src/transport/platform/platform_connection.h
+++ b/src/transport/platform/platform_connection.h
@@ -25,7 +25,8 @@
                                      const request_target &Target,
                                      bool KeepOpen);
 
-/// Returns the error for a response with an unexpected status.
+/// Returns the error for a response with an unexpected status: Protocol if the
+/// platform rejects the call itself, otherwise Unavailable.
 tl::unexpected<error> unexpectedResponse(const platform_response &Response);
 
 /// Connects on demand and reuses the connection if both sides allow it. A call
--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -182,3 +182,29 @@
   std::this_thread::sleep_for(2s);
   CHECK(platformCallCount("servers") - Before < 20);
 }
+
+// Guards against a collection that cannot be listed and keeps a node from
+// reading the others.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_vmsCannotBeListed_otherCollectionsRead") {
+  setPlatformLists("refused_kind=peridot-vms");
+  addNode("vm-1", "lakes-a");
+  Nodes.back()->Node.Process->awaitLine("\"configuration-accepted\"");
+  Nodes.back()->Node.Process->awaitLine("\"targets-changed\"");
+  awaitReady(*Nodes.back());
+}
+
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_targetsCannotBeListed_storeStaysReachable") {
+  CHECK(countServedAfterStart() == 20);
+  setPlatformLists("refused_kind=servers");
+  listAgain();
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(reachesStore());
+  std::this_thread::sleep_for(3s);
+  CHECK(reachesStore());
+  CHECK(countServed(20) == 20);
+  writeConfiguration(2, {Keepers}, "/added/");
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(isServed("/added/1"));
+}
--- a/tests/stand_ins/object_platform/main.cpp
+++ b/tests/stand_ins/object_platform/main.cpp
@@ -55,6 +55,7 @@
   /// Lists and watches show a number in place of names that begin so; empty:
   /// all names are shown.
   std::string HiddenPrefix;
+  std::string RefusedKind; ///< Lists of this kind are refused with 400.
 };
 
 bool isSet(std::string_view Target, std::string_view Name) {
@@ -165,6 +166,8 @@
   task<http_response> read(const std::string &Target) {
     const std::string Kind = parse(Target).first;
     const std::string After = queryValue(Target, "watch", "");
+    if (After.empty() && Kind == Lists.RefusedKind)
+      co_return textResponse(400, "{}");
     if (After.empty())
       co_return list(Kind, queryValue(Target, "after", ""));
     const std::chrono::milliseconds Wait(
@@ -264,7 +267,8 @@
                    Target, "page_size", std::to_string(DefaultPageSize))),
                .IsStrict = isSet(Target, "strict"),
                .IgnoresAfter = isSet(Target, "ignore_after"),
-               .HiddenPrefix = queryValue(Target, "hidden_prefix", "")};
+               .HiddenPrefix = queryValue(Target, "hidden_prefix", ""),
+               .RefusedKind = queryValue(Target, "refused_kind", "")};
       return textResponse(200, "");
     }
     Faults = {.IsDown = isSet(Target, "down"),
