--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -183,6 +183,20 @@
   CHECK(platformCallCount("servers") - Before < 20);
 }
 
+// Guards against another object of the configuration's kind that is taken for
+// the configuration.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_otherObjectWithHigherVersion_configurationKept") {
+  createEntry("config", "copy", R"({"version":99,"resources":[]})");
+  CHECK(countServedAfterStart() == 20);
+  createEntry("config", "main2", R"({"version":100,"resources":[]})");
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(countServed(20) == 20);
+  writeConfiguration(2, {Keepers}, "/added/");
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(isServed("/added/1"));
+}
+
 // Guards against a collection that cannot be listed and keeps a node from
 // reading the others.
 TEST_CASE_FIXTURE(odd_entries_fixture,
