Use no names that cannot stand in a header field or a log line

What callers saw: nothing; targets did. A request to a target had the field X-Injected after another writer had stored a usable entry whose name has a line break, and after a configuration with such a name of an account.

Cause: names of targets, VMs, data centres, services and accounts were taken as they came; the names of a target and of an account go into header fields.

Fix: isUsableName decides where an entry is decoded: valid UTF-8 of at most 255 bytes, no control characters, no blank at an end. An entry with another name is unreadable. In a configuration the account, or the service with its routes, is left out and logged.

--- a/apps/peridotport/settings.cpp
+++ b/apps/peridotport/settings.cpp
@@ -10,6 +10,7 @@
 
 #include "environment_flags.h"
 #include "platform/hivecrest.h"
+#include "protocol/text/usable_name.h"
 
 DEFINE_string(vm, "", "Name of this VM");
 DEFINE_string(data_center, "", "Name of this VM's data centre");
@@ -109,6 +110,14 @@
                 std::to_string(Max));
   }
 
+  /// An empty name is reported elsewhere.
+  void requireName(std::string_view Flag, const std::string &Text) {
+    require(Text.empty() || isUsableName(Text),
+            "--" + std::string(Flag) +
+                " is not a name; use one without control characters and "
+                "without blanks at its ends");
+  }
+
   void requireIp(std::string_view Flag, const std::string &Text) {
     in6_addr Buffer{};
     require(inet_pton(AF_INET, Text.c_str(), &Buffer) == 1 ||
@@ -273,6 +282,8 @@
   Validator.require(!FLAGS_data_center.empty(),
                     "--data_center is missing; set it to the name of this VM's "
                     "data centre");
+  Validator.requireName("vm", FLAGS_vm);
+  Validator.requireName("data_center", FLAGS_data_center);
   Validator.requireIp("listen_address", FLAGS_listen_address);
   Validator.requireIp("platform_address", FLAGS_platform_address);
   Validator.requireRange("caller_port", FLAGS_caller_port, 0, 65'535);
--- a/src/protocol/platform_documents/internal/platform_documents.cpp
+++ b/src/protocol/platform_documents/internal/platform_documents.cpp
@@ -1,7 +1,12 @@
 #include "protocol/platform_documents/platform_documents.h"
 
+#include <optional>
+#include <stdexcept>
+
 #include <boost/json.hpp>
 
+#include "protocol/text/usable_name.h"
+
 namespace peridot {
 
 namespace json = boost::json;
@@ -73,9 +78,24 @@
   return Route;
 }
 
+/// Exception for a name that cannot be used; decodeWith() turns it into an
+/// error.
+struct unusable_name : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+/// Returns the name in \p Value, which goes into header fields and log lines.
+std::string_view usableNameOf(const json::value &Value) {
+  const std::string_view Name = textOf(Value);
+  if (!isUsableName(Name))
+    throw unusable_name("a name has control characters or another form that "
+                        "cannot be used");
+  return Name;
+}
+
 target decodeTarget(const json::value &Value) {
-  return {.Name = target_name(textOf(Value.at("name"))),
-          .DataCenter = data_center_name(textOf(Value.at("data_center"))),
+  return {.Name = target_name(usableNameOf(Value.at("name"))),
+          .DataCenter = data_center_name(usableNameOf(Value.at("data_center"))),
           .Address = std::string(textOf(Value.at("address"))),
           .Port = Value.at("port").to_number<std::uint16_t>(),
           .Slots = Value.at("slots").to_number<unsigned>(),
@@ -84,7 +104,7 @@
 
 client_account decodeAccount(const json::value &Value) {
   client_account Account;
-  Account.Name = account_name(textOf(Value.at("name")));
+  Account.Name = account_name(usableNameOf(Value.at("name")));
   Account.Limit = {.RequestsPerSecond = Value.at("rate").to_number<double>(),
                    .Burst = Value.at("burst").to_number<double>()};
   Account.Weight = Value.at("weight").to_number<unsigned>();
@@ -98,7 +118,7 @@
 service_document documentFrom(const json::value &Value) {
   service_document Document;
   service &Service = Document.Service;
-  Service.Name = service_name(textOf(Value.at("service")));
+  Service.Name = service_name(usableNameOf(Value.at("service")));
   Service.FloorPercent = Value.at("floor_percent").to_number<unsigned>();
   Service.Ejection = textOf(Value.at("ejection")) == "fast"
                          ? ejection_mode::Fast
@@ -138,8 +158,8 @@
 }
 
 listed_vm vmFrom(const json::value &Value) {
-  return {.Name = vm_name(textOf(Value.at("name"))),
-          .DataCenter = data_center_name(textOf(Value.at("data_center"))),
+  return {.Name = vm_name(usableNameOf(Value.at("name"))),
+          .DataCenter = data_center_name(usableNameOf(Value.at("data_center"))),
           .Address = std::string(textOf(Value.at("address"))),
           .CallerPort = Value.at("caller_port").to_number<std::uint16_t>(),
           .PeerPort = Value.at("peer_port").to_number<std::uint16_t>(),
--- a/src/protocol/platform_documents/tests/platform_documents_test.cpp
+++ b/src/protocol/platform_documents/tests/platform_documents_test.cpp
@@ -37,3 +37,18 @@
                                        .State = vm_list_state::Leaving}};
   CHECK(decodeVmList(encodeVmList(Vms)).value() == Vms);
 }
+
+// Guards against a name that adds a header field to the requests of an account.
+TEST_CASE("decodeDocument_nameUnusable_protocolError") {
+  service_document Document{.Service = {.Name = service_name("hive")}};
+  REQUIRE(decodeDocument(encodeDocument(Document)));
+  Document.Accounts = {
+      client_account{.Name = account_name("k\r\nX-Injected: 1")}};
+  CHECK_FALSE(decodeDocument(encodeDocument(Document)));
+  Document.Accounts.clear();
+  Document.Service.Targets = {target{.Name = target_name("t\n"),
+                                     .DataCenter = data_center_name("a"),
+                                     .Address = "127.0.0.1",
+                                     .Port = 80}};
+  CHECK_FALSE(decodeDocument(encodeDocument(Document)));
+}
--- a/src/protocol/service_files/internal/service_file_reader.cpp
+++ b/src/protocol/service_files/internal/service_file_reader.cpp
@@ -51,8 +51,8 @@
 
 target readTarget(table_reader Reader) {
   target Target;
-  Target.Name = target_name(Reader.requireString("name"));
-  Target.DataCenter = data_center_name(Reader.requireString("data_center"));
+  Target.Name = target_name(Reader.requireName("name"));
+  Target.DataCenter = data_center_name(Reader.requireName("data_center"));
   Target.Address = Reader.requireString("address");
   if (!Target.Address.empty() && !isIpAddress(Target.Address))
     Reader.addFault(Reader.find("address"), "'address' is not an IP address",
@@ -70,7 +70,7 @@
 client_account readAccount(table_reader Reader,
                            const service_name &DeclaringService) {
   client_account Account;
-  Account.Name = account_name(Reader.requireString("name"));
+  Account.Name = account_name(Reader.requireName("name"));
   Account.Limit = {.RequestsPerSecond = Reader.requirePositive("rate"),
                    .Burst = Reader.requirePositive("burst")};
   Account.Weight =
@@ -102,7 +102,7 @@
   table_reader Reader(File, Root, Faults);
   service_document Document;
   service &Service = Document.Service;
-  Service.Name = service_name(Reader.requireString("service"));
+  Service.Name = service_name(Reader.requireName("service"));
   Service.FloorPercent = static_cast<unsigned>(
       Reader.integerOr("floor_percent", Service.FloorPercent, 0, 100));
   Service.Ejection = readEjection(Reader);
--- a/src/protocol/service_files/internal/table_reader.cpp
+++ b/src/protocol/service_files/internal/table_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "protocol/text/usable_name.h"
+
 namespace peridot {
 
 void table_reader::addFault(const toml::node *Node, std::string Message,
@@ -38,6 +40,16 @@
   return {};
 }
 
+std::string table_reader::requireName(std::string_view Key) {
+  std::string Name = requireString(Key);
+  if (!Name.empty() && !isUsableName(Name))
+    addFault(Table.get(Key),
+             "'" + std::string(Key) + "' is not a name that can be used",
+             "use no control characters, no blanks at its ends and at most " +
+                 std::to_string(MaxNameBytes) + " bytes");
+  return Name;
+}
+
 std::string table_reader::stringOr(std::string_view Key,
                                    std::string_view Default) {
   if (!Table.contains(Key)) {
--- a/src/protocol/service_files/internal/table_reader.h
+++ b/src/protocol/service_files/internal/table_reader.h
@@ -26,6 +26,8 @@
                 std::string Remedy) const;
 
   std::string requireString(std::string_view Key);
+  /// As requireString(), for a name that goes into header fields and log lines.
+  std::string requireName(std::string_view Key);
   std::string stringOr(std::string_view Key, std::string_view Default);
   std::int64_t integerOr(std::string_view Key, std::int64_t Default,
                          std::int64_t Min, std::int64_t Max);
--- a/src/protocol/service_files/tests/service_file_reader_test.cpp
+++ b/src/protocol/service_files/tests/service_file_reader_test.cpp
@@ -59,3 +59,17 @@
   CHECK(Document.error().size() == 1);
   CHECK(Document.error()[0].Line == 1);
 }
+
+// Guards against a name that adds a header field to requests.
+TEST_CASE("readServiceFile_nameUnusable_faultNamed") {
+  const auto Document = readServiceFile("hive.toml", R"(
+service = "hive"
+[[account]]
+name = "keepers\r\nX-Injected: 1"
+rate = 10
+burst = 20
+)");
+  REQUIRE_FALSE(Document);
+  REQUIRE(Document.error().size() == 1);
+  CHECK(Document.error()[0].Line == 4);
+}
--- a/src/state/configuration/types/fleet_configuration.h
+++ b/src/state/configuration/types/fleet_configuration.h
@@ -130,6 +130,8 @@
   caller_limits Limits;
   std::vector<service> Services;
   std::vector<client_account> Accounts;
+  /// Descriptions of resources that were left out, as a name cannot be used.
+  std::vector<std::string> SkippedResources;
 
   bool operator==(const fleet_configuration &) const = default;
 };
--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -365,6 +365,9 @@
     if (Item.IsRemoved || !Read ||
         (InForce && Read->Revision <= InForce->configuration().Revision))
       continue;
+    for (const std::string &Each : Read->SkippedResources)
+      logEvent(log_level::Warning, "configuration-resource-skipped",
+               {{"resource", std::string_view(Each)}});
     const auto Index = std::make_shared<configuration_index>(*Read);
     Services.Snapshots.update([&](routing_snapshot &Snapshot) {
       Snapshot.Configuration = Index;
--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -183,6 +183,50 @@
   CHECK(platformCallCount("servers") - Before < 20);
 }
 
+// Guards against a header field that the name of an entry adds to requests.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_lineBreakInUsableEntry_entryNotUsed") {
+  std::mutex Mutex;
+  std::string Received;
+  const scripted_target Scripted([&](scripted_connection &Connection) {
+    Connection.readUntil("hive");
+    const std::lock_guard Lock(Mutex);
+    Received += Connection.received();
+  });
+  for (const char *Name : {"q\r\nX-Injected: 1", " q", "q\t", "q\x7f"})
+    createEntry("servers", Name, usableSpec(Scripted.port()));
+  CHECK(countServedAfterStart() == 20);
+  CHECK(countServed(80) == 80);
+  const std::lock_guard Lock(Mutex);
+  CHECK(Received == "");
+}
+
+// The same for the name of an account, which targets receive too.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_lineBreakInAccountName_otherAccountsServed") {
+  store_account Odd = Keepers;
+  Odd.Name = "crews\r\nX-Injected: 1";
+  Odd.Keys = {"crew-key"};
+  writeConfiguration(2, {Keepers, Odd});
+  std::mutex Mutex;
+  std::string Received;
+  const scripted_target Scripted([&](scripted_connection &Connection) {
+    Connection.readUntil("hive");
+    const std::lock_guard Lock(Mutex);
+    Received += Connection.received();
+  });
+  CHECK(countServedAfterStart() == 20);
+  for (const auto &Each : Targets)
+    removeTarget(*Each);
+  createEntry("servers", "scripted", usableSpec(Scripted.port()));
+  std::this_thread::sleep_for(ChangeTimeout);
+  isServed("/logs/1", "crew-key");
+  isServed();
+  const std::lock_guard Lock(Mutex);
+  CHECK(Received.find("keepers") != std::string::npos);
+  CHECK(Received.find("X-Injected") == std::string::npos);
+}
+
 // Guards against another object of the configuration's kind that is taken for
 // the configuration.
 TEST_CASE_FIXTURE(odd_entries_fixture,
