Read responses of the store with an entry of the largest size

What callers saw: nothing was served after a restart while one entry of 1 MB of control characters stood in the list.

Cause: such an entry takes 6 MB in JSON, and responses above 4 MB were refused.

Evidence: on the code before, node_entryOfLargestSize_requestsServed served 0 of 20 requests.

Fix: the limit is 16 MB, above a page of 1 MB and one object of 1 MB in that form. The test passes.

--- a/src/transport/platform/internal/platform_connection.cpp
+++ b/src/transport/platform/internal/platform_connection.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr std::uint64_t MaxResponseBytes = 4U << 20U;
+/// A page of a list has about 1 MB, or one object of that size more; a control
+/// character takes six bytes in JSON.
+constexpr std::uint64_t MaxResponseBytes = 16U << 20U;
 /// Maximum time to open a connection. TCP resends a lost SYN only after a
 /// second, so a new attempt is faster.
 constexpr std::chrono::milliseconds ConnectTimeout{600};
--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -266,3 +266,14 @@
   std::this_thread::sleep_for(ChangeTimeout);
   CHECK(isServed("/added/1"));
 }
+
+// Guards against an entry that makes a list too large to be read. A control
+// character takes six bytes in JSON.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "node_entryOfLargestSize_requestsServed") {
+  constexpr std::size_t MaxValueBytes = 1'048'576;
+  createEntry("servers", "a",
+              boost::json::serialize(boost::json::value{
+                  {"x", std::string(MaxValueBytes, '\x01')}}));
+  CHECK(countServedAfterStart() == 20);
+}
