Keep links between VMs open beside large entries in the store

What callers saw: not measured. A VM closed the link to another one, with all that was on its way, each time that one relayed or handed over three large entries of another writer.

Evidence: on the code before, nodes_largeEntries_linksBetweenVmsStayOpen found "a peer's frame is too large" three times.

A message above the limit is not sent, logged and counted; the others notice by the reports that changes are missing and read them. The test passes.

--- a/src/transport/node/internal/store_archive.cpp
+++ b/src/transport/node/internal/store_archive.cpp
@@ -8,11 +8,18 @@
 
 namespace {
 
-/// Whether a list has the entries of \p Entries and no others.
+/// Whether an entry is kept. One that cannot be decoded is of no use to another
+/// VM, and may be so large that the messages to it are refused.
+bool isKept(const store_item &Item) {
+  return !Item.IsRemoved && !Item.Text.empty();
+}
+
+/// Whether a list has the entries of \p Entries and no others to keep.
 bool isSameList(const collection_archive &Entries, const store_items &List) {
-  return Entries.size() == List.Items.size() &&
+  const auto Kept = std::ranges::count_if(List.Items, isKept);
+  return Entries.size() == static_cast<std::size_t>(Kept) &&
          std::ranges::all_of(List.Items, [&](const store_item &Item) {
-           return Entries.text(Item.Name) == Item.Text;
+           return !isKept(Item) || Entries.text(Item.Name) == Item.Text;
          });
 }
 
@@ -28,14 +35,15 @@
   if (IsList) {
     collection_archive Listed;
     for (const store_item &Item : Items.Items)
-      Listed.put(Item.Name, std::string(Archived.Entries.text(Item.Name)));
+      if (isKept(Item))
+        Listed.put(Item.Name, std::string(Archived.Entries.text(Item.Name)));
     Archived.Entries = std::move(Listed);
   }
   for (const store_item &Item : Items.Items)
-    if (Item.IsRemoved)
-      Archived.Entries.remove(Item.Name);
-    else
+    if (isKept(Item))
       Archived.Entries.put(Item.Name, Item.Text);
+    else
+      Archived.Entries.remove(Item.Name);
   return true;
 }
 
--- a/src/transport/peers/internal/peer_hub.cpp
+++ b/src/transport/peers/internal/peer_hub.cpp
@@ -82,6 +82,17 @@
   // Without the key, peers would refuse the link.
   if (Address == Addresses.end() || Options.FleetKey.empty())
     return;
+  // The peer would close the link, with all that is on its way.
+  if (Body.size() > MaxFrameBodyBytes) {
+    Metrics
+        .getOrCreateCounter("peridot_peer_oversized_total",
+                            seriesLabel("subject", nameOf(Subject)))
+        .add();
+    logEvent(log_level::Warning, "peer-message-too-large",
+             {{"subject", nameOf(Subject)},
+              {"bytes", static_cast<std::int64_t>(Body.size())}});
+    return;
+  }
   auto &Link = Links[Peer];
   if (!Link)
     Link = std::make_shared<peer_link>(Loop, Options, Address->second, Metrics);
--- a/src/transport/platform/types/fleet_store.h
+++ b/src/transport/platform/types/fleet_store.h
@@ -48,7 +48,8 @@
   std::uint64_t Revision = 0; ///< Revision of the last change to the object.
   bool IsRemoved = false;     ///< If true, Content has no meaning.
   store_content Content;
-  /// The object in the store's format, for fleet_store::EncodeList.
+  /// The object in the store's format, for fleet_store::EncodeList; empty if it
+  /// cannot be decoded.
   std::string Text;
 };
 
--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -277,3 +277,28 @@
                   {"x", std::string(MaxValueBytes, '\x01')}}));
   CHECK(countServedAfterStart() == 20);
 }
+
+// Guards against entries that make the messages between VMs too large, so that
+// the receiver closes the link with all that is on its way.
+TEST_CASE_FIXTURE(odd_entries_fixture,
+                  "nodes_largeEntries_linksBetweenVmsStayOpen") {
+  addNode("vm-2", "lakes-a");
+  CHECK(countServedAfterStart() == 20);
+  awaitReady(*Nodes.front());
+  std::mt19937 Random(1);
+  for (const char *Name : {"a", "b", "c"}) {
+    std::string Text(1'000'000, ' ');
+    for (char &Each : Text)
+      Each = static_cast<char>('!' + Random() % 90);
+    createEntry("servers", Name,
+                boost::json::serialize(boost::json::value{{"x", Text}}));
+  }
+  std::this_thread::sleep_for(ChangeTimeout);
+  restart(*Nodes.front());
+  awaitReady(*Nodes.front());
+  std::this_thread::sleep_for(ChangeTimeout);
+  CHECK(countServed(20) == 20);
+  for (const auto &Each : Nodes)
+    for (const std::string &Line : Each->Node.Process->lines())
+      CHECK(Line.find("frame is too large") == std::string::npos);
+}
