Escape the values of metric labels

What operators saw: a name or a path prefix with a quote or a line break makes the metrics page unreadable for Prometheus, and a burn report counts requests for another name.

Cause: labels were written and read as they are.

Evidence: on the code before, seriesLabel_charactersWithMeaning_escaped and parseRequestLabels_quotesInNames_roundTrip failed.

Fix: quotes, backslashes and line feeds are escaped as in the text format of Prometheus, and decoded where labels are read. Both tests pass.

--- a/src/state/burn/internal/request_series.cpp
+++ b/src/state/burn/internal/request_series.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-std::string_view labelValue(std::string_view Labels, std::string_view Name) {
-  const std::string Prefix = std::string(Name) + "=\"";
-  const std::size_t Start = Labels.find(Prefix);
-  if (Start == std::string_view::npos)
-    return {};
-  const std::string_view Rest = Labels.substr(Start + Prefix.size());
-  return Rest.substr(0, Rest.find('"'));
-}
-
 std::optional<request_end> parseRequestEnd(std::string_view Name) {
   for (std::size_t Index = 0; Index < RequestEndCount; ++Index)
     if (nameOf(static_cast<request_end>(Index)) == Name)
@@ -64,7 +55,7 @@
 }
 
 std::optional<request_series> parseRequestLabels(std::string_view Labels) {
-  const std::string_view Service = labelValue(Labels, "service");
+  const std::string Service = labelValue(Labels, "service");
   const auto End = parseRequestEnd(labelValue(Labels, "outcome"));
   if (Service.empty() || !End)
     return std::nullopt;
--- a/src/state/burn/tests/burn_ledger_test.cpp
+++ b/src/state/burn/tests/burn_ledger_test.cpp
@@ -57,3 +57,14 @@
   CHECK(Series->End == request_end::NotRun);
   CHECK_FALSE(parseRequestLabels("kind=\"x\""));
 }
+
+// Guards against names that the encoding of the labels changes.
+TEST_CASE("parseRequestLabels_quotesInNames_roundTrip") {
+  const burn_subject Quoted{service_name("a\"b\\"),
+                            account_name("c\",outcome=\"x\n")};
+  const auto Series =
+      parseRequestLabels(requestLabels(Quoted, request_end::NotRun));
+  REQUIRE(Series);
+  CHECK(Series->Subject == Quoted);
+  CHECK(Series->End == request_end::NotRun);
+}
--- a/src/state/metrics/tests/metrics_registry_test.cpp
+++ b/src/state/metrics/tests/metrics_registry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "state/metrics/series_label.h"
+
 using namespace peridot;
 using namespace std::chrono_literals;
 
@@ -30,3 +32,9 @@
   Registry.getOrCreateGauge("a").add(-2);
   CHECK(Registry.readGauges().at(0).Value == 3);
 }
+
+// Guards against a name that ends the label or the line of the metrics page.
+TEST_CASE("seriesLabel_charactersWithMeaning_escaped") {
+  CHECK(seriesLabel("a", "x\"y\\z\n") == R"(a="x\"y\\z\n")");
+  CHECK(seriesLabel("a", "hive-1") == R"(a="hive-1")");
+}
