Write log lines that are valid UTF-8

What operators saw: a log line with bytes of another writer, or with a text cut at 512 bytes inside a character, is no valid JSON.

Cause: texts went into the line as they came.

Evidence: with the former code in place of the new one, logEvent_textNotUtf8_lineValidJson failed.

Fix: what is not valid UTF-8 becomes U+FFFD. The test passes.

--- a/src/transport/logging/internal/event_log.cpp
+++ b/src/transport/logging/internal/event_log.cpp
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 #include <glog/logging.h>
 
+#include "protocol/text/utf8.h"
 #include "state/base/types/overloaded.h"
 #include "transport/logging/log_limiter.h"
 #include "transport/runtime/timer_service.h"
@@ -73,10 +74,16 @@
   return std::string(Text, Length) + Fraction + "Z";
 }
 
+/// Truncates a text and makes it valid UTF-8, as names and causes may come from
+/// outside.
+json::value toJsonText(std::string_view Text) {
+  const std::string Valid = replaceInvalidUtf8(Text.substr(0, MaxTextBytes));
+  return json::value(toJsonView(Valid));
+}
+
 json::value toJson(const log_field &Field) {
   return std::visit(overloaded{[](std::string_view Text) {
-                                 return json::value(
-                                     toJsonView(Text.substr(0, MaxTextBytes)));
+                                 return json::value(toJsonText(Text));
                                },
                                [](auto Scalar) { return json::value(Scalar); }},
                     Field.Value);
--- a/src/transport/logging/tests/event_log_test.cpp
+++ b/src/transport/logging/tests/event_log_test.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <unistd.h>
 
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
 
 #include "transport/logging/log_limiter.h"
@@ -24,15 +25,24 @@
   log_limiter Limiter;
 };
 
-/// Standard output is a pipe that is never read, until restore() puts the
-/// original output back.
-struct full_output_pipe_fixture {
-  full_output_pipe_fixture() {
+/// Starts the log; a process can do so only once.
+void startLogOnce() {
+  static const bool IsStarted = [] {
+    startEventLog("event_log_test", "vm-1");
+    return true;
+  }();
+  static_cast<void>(IsStarted);
+}
+
+/// Standard output is a pipe, until restore() puts the original output back.
+struct output_pipe_fixture {
+  output_pipe_fixture() {
     REQUIRE(pipe2(PipeEnds, O_CLOEXEC) == 0);
     SavedOutput = dup(STDOUT_FILENO);
     dup2(PipeEnds[1], STDOUT_FILENO);
+    startLogOnce();
   }
-  ~full_output_pipe_fixture() { restore(); }
+  ~output_pipe_fixture() { restore(); }
 
   void restore() {
     if (SavedOutput < 0)
@@ -44,6 +54,17 @@
     SavedOutput = -1;
   }
 
+  /// Returns the next line of the event log, and restores the output.
+  std::string readEvent() {
+    std::string Line;
+    char Next = 0;
+    while (read(PipeEnds[0], &Next, 1) == 1 &&
+           !(Next == '\n' && Line.starts_with('{')))
+      Line = Next == '\n' ? "" : Line + Next;
+    restore();
+    return Line;
+  }
+
   int PipeEnds[2] = {-1, -1};
   int SavedOutput = -1;
 };
@@ -67,9 +88,19 @@
   CHECK(Limiter.takeDropped(Now).empty());
 }
 
-TEST_CASE_FIXTURE(full_output_pipe_fixture,
-                  "logEvent_outputPipeNotRead_returns") {
-  startEventLog("event_log_test", "vm-1");
+// Guards against log lines that a reader of JSON refuses.
+TEST_CASE_FIXTURE(output_pipe_fixture, "logEvent_textNotUtf8_lineValidJson") {
+  // The limit of a text cuts the last character.
+  const std::string Text = "\xff\n" + std::string(509, 'x') + "\xc3\xa9";
+  logEvent(log_level::Info, "odd-text", {{"text", std::string_view(Text)}});
+  const std::string Line = readEvent();
+  boost::system::error_code Error;
+  const auto Parsed = boost::json::parse(Line, Error);
+  REQUIRE_FALSE(Error);
+  CHECK(Parsed.at("text").as_string().starts_with("\xef\xbf\xbd\n"));
+}
+
+TEST_CASE_FIXTURE(output_pipe_fixture, "logEvent_outputPipeNotRead_returns") {
   // Exceeds the capacity of the pipe, so a blocking write would hang the test.
   const std::string Text(500, 'x');
   for (int Event = 0; Event < 2'000; ++Event) {
