List the other VMs when one row cannot be decoded

What operators saw: one odd row makes the platform's whole list of VMs unreadable, for the nodes without an adapter and for peridotctl.

Cause: the first row that cannot be decoded ended the decoding.

Evidence: on the code before, decodeVmList_oddRow_othersListed failed.

Fix: such a row is left out. The test passes.

--- a/src/protocol/platform_documents/internal/platform_documents.cpp
+++ b/src/protocol/platform_documents/internal/platform_documents.cpp
@@ -169,6 +169,15 @@
                        : vm_list_state::Live};
 }
 
+/// Returns nullopt for a row that cannot be decoded.
+std::optional<listed_vm> tryVmFrom(const json::value &Row) {
+  try {
+    return vmFrom(Row);
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
 /// Parses \p Json and decodes it with \p DecodeValue. Turns the exceptions that
 /// Boost.JSON throws for unexpected types and missing members into an error.
 template <typename Decode>
@@ -244,7 +253,8 @@
   return decodeWith(Json, "the list of VMs", [](const json::value &Value) {
     std::vector<listed_vm> Vms;
     for (const json::value &Row : Value.as_array())
-      Vms.push_back(vmFrom(Row));
+      if (auto Vm = tryVmFrom(Row))
+        Vms.push_back(std::move(*Vm));
     return Vms;
   });
 }
--- a/src/protocol/platform_documents/platform_documents.h
+++ b/src/protocol/platform_documents/platform_documents.h
@@ -45,6 +45,8 @@
 result<configuration_manifest> decodeManifest(std::string_view Json);
 
 std::string encodeVmList(std::span<const listed_vm> Vms);
+/// Decodes a list of VMs without the rows that cannot be decoded. Fails with
+/// Protocol if \p Json is not a list.
 result<std::vector<listed_vm>> decodeVmList(std::string_view Json);
 
 } // namespace peridot
--- a/src/protocol/platform_documents/tests/platform_documents_test.cpp
+++ b/src/protocol/platform_documents/tests/platform_documents_test.cpp
@@ -38,6 +38,26 @@
   CHECK(decodeVmList(encodeVmList(Vms)).value() == Vms);
 }
 
+// Guards against one odd row that hides all other VMs.
+TEST_CASE("decodeVmList_oddRow_othersListed") {
+  const std::string Row =
+      R"({"name":"vm-1","data_center":"a","address":"127.0.0.1",)"
+      R"("caller_port":1,"peer_port":2,"state":"live"})";
+  for (const char *Odd :
+       {"7", "{}", R"({"name":7})",
+        R"({"name":"x\r\ny","data_center":"a","address":"127.0.0.1",)"
+        R"("caller_port":1,"peer_port":2,"state":"live"})",
+        R"({"name":"x","data_center":"a","address":"127.0.0.1",)"
+        R"("caller_port":70000,"peer_port":2,"state":"live"})"}) {
+    INFO(Odd);
+    const auto Vms = decodeVmList("[" + std::string(Odd) + "," + Row + "]");
+    REQUIRE(Vms);
+    REQUIRE(Vms->size() == 1);
+    CHECK(Vms->front().Name == vm_name("vm-1"));
+  }
+  CHECK_FALSE(decodeVmList(R"({"items":[]})"));
+}
+
 // Guards against a name that adds a header field to the requests of an account.
 TEST_CASE("decodeDocument_nameUnusable_protocolError") {
   service_document Document{.Service = {.Name = service_name("hive")}};
