Keep an odd entry in all runs of the soak; explain odd names in a test

An entry of another writer, whose name means something else in a URL, ends a page of each list in the soak.

--- a/tests/integration/ctl_test.cpp
+++ b/tests/integration/ctl_test.cpp
@@ -47,6 +47,9 @@
   CHECK(contains(Explanation, "cause: published by tests: winter limits"));
   CHECK(ctl({"explain", "target", "nothing"}).ExitCode == 1);
   CHECK(ctl({"explain", "weather", "x"}).ExitCode == 2);
+  // A name that means something else in a URL.
+  for (const char *Name : {"a b", "a&kind=vm", "a%zz", "a\r\nX: 1"})
+    CHECK(ctl({"explain", "target", Name}).ExitCode == 1);
 }
 
 TEST_CASE_FIXTURE(ctl_fixture, "drain_oneVm_thatVmExitsAndOtherStaysReady") {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -46,6 +46,9 @@
   explicit soak_run(unsigned Seed) : Seed(Seed) {
     Fleet.writeConfiguration(1, {{"keepers", {"keeper-key"}, 60, 30},
                                  {"crews", {"crew-key"}, 60, 30}});
+    // An entry of another writer ends a page of each list.
+    Fleet.createEntry("servers", "a&b=%zz c", R"({"service":7})");
+    Fleet.setPlatformLists("page_size=1&strict=1");
     for (const char *Name : {"hive-1", "hive-2", "hive-3"})
       Fleet.addTarget(Name, Fleet.Targets.empty() ? "lakes-b" : "lakes-a");
     for (int Index = 0; Index < FLAGS_vms; ++Index)
