--- a/src/coordination/registry/page_sequence.h
+++ b/src/coordination/registry/page_sequence.h
@@ -46,7 +46,7 @@
   /// \param HasMore whether the store says that entries follow.
   page_step record(std::span<const std::string_view> Names, bool HasMore);
 
-  /// Returns the name after which the last page began; empty: the first page.
+  /// Returns the name after which the next page begins; empty: the first page.
   const std::string &after() const { return After; }
 
 private:
--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -30,6 +30,30 @@
 /// Time within which a node removes a target whose entry is gone.
 constexpr auto RemovalTimeout = 4s;
 
+/// A target that keeps the requests that it receives and sends no response.
+class recording_target {
+public:
+  recording_target()
+      : Target([this](scripted_connection &Connection) {
+          Connection.readUntil("hive");
+          const std::lock_guard Lock(Mutex);
+          Received += Connection.received();
+        }) {}
+
+  std::uint16_t port() const { return Target.port(); }
+
+  /// Returns the bytes of all requests so far.
+  std::string received() const {
+    const std::lock_guard Lock(Mutex);
+    return Received;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::string Received;
+  scripted_target Target;
+};
+
 /// Two targets; nodes start after another writer has stored its entries.
 struct odd_entries_fixture : store_fleet {
   odd_entries_fixture() {
@@ -186,19 +210,12 @@
 // Guards against a header field that the name of an entry adds to requests.
 TEST_CASE_FIXTURE(odd_entries_fixture,
                   "node_lineBreakInUsableEntry_entryNotUsed") {
-  std::mutex Mutex;
-  std::string Received;
-  const scripted_target Scripted([&](scripted_connection &Connection) {
-    Connection.readUntil("hive");
-    const std::lock_guard Lock(Mutex);
-    Received += Connection.received();
-  });
+  const recording_target Recording;
   for (const char *Name : {"q\r\nX-Injected: 1", " q", "q\t", "q\x7f"})
-    createEntry("servers", Name, usableSpec(Scripted.port()));
+    createEntry("servers", Name, usableSpec(Recording.port()));
   CHECK(countServedAfterStart() == 20);
   CHECK(countServed(80) == 80);
-  const std::lock_guard Lock(Mutex);
-  CHECK(Received == "");
+  CHECK(Recording.received() == "");
 }
 
 // The same for the name of an account, which targets receive too.
@@ -208,23 +225,16 @@
   Odd.Name = "crews\r\nX-Injected: 1";
   Odd.Keys = {"crew-key"};
   writeConfiguration(2, {Keepers, Odd});
-  std::mutex Mutex;
-  std::string Received;
-  const scripted_target Scripted([&](scripted_connection &Connection) {
-    Connection.readUntil("hive");
-    const std::lock_guard Lock(Mutex);
-    Received += Connection.received();
-  });
+  const recording_target Recording;
   CHECK(countServedAfterStart() == 20);
   for (const auto &Each : Targets)
     removeTarget(*Each);
-  createEntry("servers", "scripted", usableSpec(Scripted.port()));
+  createEntry("servers", "scripted", usableSpec(Recording.port()));
   std::this_thread::sleep_for(ChangeTimeout);
   isServed("/logs/1", "crew-key");
   isServed();
-  const std::lock_guard Lock(Mutex);
-  CHECK(Received.find("keepers") != std::string::npos);
-  CHECK(Received.find("X-Injected") == std::string::npos);
+  CHECK(Recording.received().find("keepers") != std::string::npos);
+  CHECK(Recording.received().find("X-Injected") == std::string::npos);
 }
 
 // Guards against another object of the configuration's kind that is taken for
