Ask the store at once whether only one collection cannot be read

What callers saw: nothing. The store could count as lost for up to 10 s while one collection was refused and the others were in order.

Cause: after two refused lists nothing called the store until the open watch of another collection ended, unless that collection was read at that very moment or a request had its key confirmed.

Fix: when a response of no use makes the store unreachable, the configuration is read at once.

--- a/src/transport/node/internal/store_follower.cpp
+++ b/src/transport/node/internal/store_follower.cpp
@@ -133,6 +133,7 @@
 }
 
 void store_follower::recordCall(fleet_collection Collection, call_end End) {
+  const bool WasReachableBefore = Reachability.isReachable();
   if (End == call_end::Succeeded) {
     Reachability.recordSuccess(Collection);
   } else {
@@ -143,6 +144,10 @@
                                 .WasAnswered = End == call_end::Unusable});
   }
   updateReachability();
+  // The store responded, so another collection may be readable. Its open watch
+  // would show that only when it ends.
+  if (End == call_end::Unusable && WasReachableBefore && !isStoreReachable())
+    confirmKeys([](std::optional<instant>) {});
 }
 
 void store_follower::setMaxRetryDelay(duration Delay) {
