Show that a VM whose messages are lost goes on as a primary (QUOTA)

The other VMs miss it and choose another primary; it hears them and remains one in its own view, so that both give out the same limit.

--- a/review/rig_2/rig.cpp
+++ b/review/rig_2/rig.cpp
@@ -777,9 +777,9 @@
     });
 }
 
-void peer_links::cut(const std::string &Vm) {
+void peer_links::cut(const std::string &Vm, cut_direction Direction) {
   const std::lock_guard Lock(Mutex);
-  Cut.insert(Vm);
+  Cut[Vm] = Direction;
 }
 
 void peer_links::heal(const std::string &Vm) {
@@ -787,9 +787,11 @@
   Cut.erase(Vm);
 }
 
-bool peer_links::isCut(const std::string &Left, const std::string &Right) {
+bool peer_links::isCut(const std::string &Dialer, const std::string &Receiver) {
   const std::lock_guard Lock(Mutex);
-  return Cut.contains(Left) || Cut.contains(Right);
+  const auto Found = Cut.find(Receiver);
+  return Cut.contains(Dialer) ||
+         (Found != Cut.end() && Found->second == cut_direction::Both);
 }
 
 void peer_links::forward(const vm &Receiver, connection Dialer) {
@@ -799,7 +801,7 @@
   std::int64_t CutSince = -1;
   constexpr std::int64_t TcpTimeoutMs = 1'500;
   while (true) {
-    const bool Silent = isCut(Receiver.name(), DialerName);
+    const bool Silent = isCut(DialerName, Receiver.name());
     if (Silent) {
       CutSince = CutSince < 0 ? nowMs() : CutSince;
       // The VMs abandon a link whose bytes are not acknowledged for so long.
@@ -832,7 +834,7 @@
         for (const std::string &Each : Names)
           if (Dialer.buffer().find(Each) != std::string::npos)
             DialerName = Each;
-      if (isCut(Receiver.name(), DialerName))
+      if (isCut(DialerName, Receiver.name()))
         continue;
       if (!Onward.write(std::exchange(Dialer.buffer(), {})))
         return;
--- a/review/rig_2/rig.h
+++ b/review/rig_2/rig.h
@@ -14,7 +14,6 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -249,22 +248,26 @@
   pid_t Pid = -1;
 };
 
-/// Proxies in front of the VMs' peer ports. A cut VM neither sends frames to
-/// the others nor receives any.
+/// Which messages a cut VM loses.
+enum class cut_direction { Both, Sent };
+
+/// Proxies in front of the VMs' peer ports.
 class peer_links {
 public:
   /// Starts a proxy on PeerProxy of each VM.
   explicit peer_links(const std::vector<vm *> &Vms);
-  void cut(const std::string &Vm);
+  /// Cuts a VM off: messages from or to it do not pass.
+  void cut(const std::string &Vm,
+           cut_direction Direction = cut_direction::Both);
   void heal(const std::string &Vm);
 
 private:
   void forward(const vm &Receiver, connection Dialer);
-  bool isCut(const std::string &Left, const std::string &Right);
+  bool isCut(const std::string &Dialer, const std::string &Receiver);
 
   std::vector<std::string> Names;
   std::mutex Mutex;
-  std::set<std::string> Cut;
+  std::map<std::string, cut_direction> Cut;
 };
 
 /// Sends one request on a new connection.
