--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -57,6 +57,7 @@
       const std::lock_guard Lock(SentMutex);
       SentAt[Id] = nowMs();
     }
+    record("sent " + Id + " to " + Chosen);
     const unsigned Status =
         callOnce(Chosen.substr(0, Colon), std::atoi(Chosen.c_str() + Colon + 1),
                  {.Path = "/puka111/" + Id, .Key = Key, .Id = Id, .Body = ""});
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -63,6 +63,7 @@
       const std::lock_guard Lock(SentMutex);
       Sent[Id] = {.AtMs = nowMs(), .Address = Chosen};
     }
+    record("sent " + Id + " to " + Chosen);
     const unsigned Status =
         callOnce(Chosen.substr(0, Colon), std::atoi(Chosen.c_str() + Colon + 1),
                  {.Path = "/puka111/" + Id, .Key = Key, .Id = Id, .Body = ""});
